Spend fewer calls on finding each other and on changes in quick succession

Ruled out: fewer watchers, which would need proof that a node apart from them learns of a change in time. Change: contact_role decides without a network: the first read may be some seconds old (a tenth of the price), registering waits for a second read at a random time, a choice that lasts under 2 s costs nothing, and an unneeded lease lapses. A watch goes on from the revision it knows after a failure, waits 0.2 to 0.6 s after a change, and applies the newest of several. A waiting call probes its connection, so that one gone silent ends within about 3 s and not after 25 s. Calls are counted by kind.

--- a/include/agatedoor/state/store.hpp
+++ b/include/agatedoor/state/store.hpp
@@ -104,6 +104,8 @@
 struct Store
 {
     std::function<StoreResult<RangeReply>(const std::string &prefix, Deadline)> range;
+    /// Like range, at less cost to the store: what it returns may be some seconds old.
+    std::function<StoreResult<RangeReply>(const std::string &prefix, Deadline)> rangeRecent;
     std::function<StoreResult<TransactionReply>(const StoreTransaction &, Deadline)> transact;
     std::function<StoreResult<Done>(const std::string &key, Deadline)> remove;
     std::function<StoreResult<LeaseId>(std::chrono::seconds timeToLive, Deadline)> grantLease;
--- a/src/agatedoor/control/fleet_report.cpp
+++ b/src/agatedoor/control/fleet_report.cpp
@@ -1,5 +1,7 @@
 #include "fleet_report.hpp"
 
+#include <numeric>
+
 namespace agatedoor {
 
 namespace {
@@ -47,7 +49,7 @@
         {"bundles_fetched", peers.bundlesFetched},
         {"bundles_refused", peers.bundlesRefused},
         {"bundle_bytes_sent", peers.bundleBytes},
-        {"store_calls", store.calls},
+        {"store_calls", std::accumulate(store.calls.begin(), store.calls.end(), std::uint64_t{0})},
         {"store_failures", store.failures},
         {"store_reachable", store.reachable},
         {"store_contact", store.contact},
@@ -73,7 +75,10 @@
     line(text, "control_malformed_messages_total", figures.peers.malformed);
     line(text, "bundle_sent_bytes_total", figures.peers.bundleBytes);
     line(text, "bundles_refused_total", figures.peers.bundlesRefused);
-    line(text, "store_calls_total", figures.store.calls);
+    for (std::size_t i = 0; i < storeCallCount; ++i) {
+        const std::string call(wireName(static_cast<StoreCall>(i)));
+        line(text, "store_calls_total{call=\"" + call + "\"}", figures.store.calls.at(i));
+    }
     line(text, "store_failures_total", figures.store.failures);
     return text;
 }
--- a/src/agatedoor/control/store_sync.cpp
+++ b/src/agatedoor/control/store_sync.cpp
@@ -1,5 +1,6 @@
 #include "store_sync.hpp"
 
+#include "agatedoor/base/word_table.hpp"
 #include "agatedoor/wire/log.hpp"
 #include "bundle_log.hpp"
 
@@ -10,16 +11,17 @@
 namespace {
 
 constexpr std::string_view nodePrefix = "/agatedoor/nodes/";
-constexpr std::size_t contactsPerZone = 3;
+constexpr ContactOptions contactOptions{};
 constexpr std::chrono::seconds leaseTime{15};
 constexpr std::chrono::seconds leaseRound{4};
-constexpr std::chrono::milliseconds roleRound{500};
-constexpr std::chrono::seconds contactReadInterval{30};
-constexpr std::chrono::seconds standBack{5};
+constexpr Duration roleRound = std::chrono::milliseconds(500);
+constexpr Duration lonelyRound = std::chrono::milliseconds(50);
 constexpr std::chrono::seconds callTimeout{2};
 constexpr std::chrono::milliseconds stopCallTimeout{200};
 constexpr std::chrono::seconds watchTime{25}; ///< Bounds a silent connection; peers tell of a new generation meanwhile.
 constexpr std::chrono::seconds fullReadInterval{60};
+constexpr Duration leastChangePause = std::chrono::milliseconds(200);
+constexpr Duration changePauseSpread = std::chrono::milliseconds(400); ///< Peers whose pause ends sooner tell the others of the change.
 constexpr std::chrono::milliseconds startJitter{200};
 constexpr std::chrono::milliseconds leastBackOff{200};
 constexpr int mostDoublings = 5;
@@ -29,19 +31,39 @@
     return deadlineAfter(Clock::now(), callTimeout);
 }
 
+ContactRole startedNow()
+{
+    ContactRole role;
+    role.startedAt = Clock::now();
+    return role;
+}
+
 Duration upTo(Duration time, Random &random)
 {
     return std::chrono::duration_cast<Duration>(time * uniformUnit(random));
 }
 
+constexpr std::array callWords{
+    std::pair{StoreCall::ReadContacts, std::string_view{"read-contacts"}}, std::pair{StoreCall::GrantLease, std::string_view{"grant-lease"}},
+    std::pair{StoreCall::PutContact, std::string_view{"put-contact"}},     std::pair{StoreCall::KeepLease, std::string_view{"keep-lease"}},
+    std::pair{StoreCall::RevokeLease, std::string_view{"revoke-lease"}},   std::pair{StoreCall::ReadHead, std::string_view{"read-head"}},
+    std::pair{StoreCall::WatchHead, std::string_view{"watch-head"}},       std::pair{StoreCall::ReadBundle, std::string_view{"read-bundle"}},
+};
+static_assert(callWords.size() == storeCallCount);
+
 } // namespace
 
+std::string_view wireName(StoreCall call)
+{
+    return wordOf(callWords, call);
+}
+
 StoreSync::StoreSync(NodeState &node, PeerSync &peers, Store store, ReleaseSource releases)
     : m_node(node)
     , m_peers(peers)
     , m_store(std::move(store))
     , m_releases(std::move(releases))
-    , m_standBackUntil(Clock::now() + standBack)
+    , m_contactRole(startedNow())
     , m_contactThread([this] { keepContact(); })
     , m_headThread([this] { followHead(); })
 {
@@ -66,7 +88,14 @@
 
 StoreSyncFigures StoreSync::figures() const
 {
-    return {m_calls.load(), m_failures.load(), m_contact.load(), m_watcher.load(), m_reachable.load()};
+    StoreSyncFigures figures{{}, m_failures.load(), m_contact.load(), m_watcher.load(), m_reachable.load()};
+    std::copy(m_calls.begin(), m_calls.end(), figures.calls.begin());
+    return figures;
+}
+
+void StoreSync::noteCall(StoreCall call)
+{
+    ++m_calls.at(static_cast<std::size_t>(call));
 }
 
 bool StoreSync::sleepFor(Duration time)
@@ -82,17 +111,17 @@
 }
 
 template <typename T>
-bool StoreSync::answered(std::string_view call, const StoreResult<T> &result)
+bool StoreSync::answered(StoreCall call, const StoreResult<T> &result)
 {
-    ++m_calls;
+    noteCall(call);
     const bool failed = !result && result.error().kind != StoreErrorKind::Rejected;
     m_reachable = !failed;
     if (m_lost.exchange(failed) != failed) {
-        logLine(failed ? LogLevel::Warn : LogLevel::Info, failed ? "store-lost" : "store-regained", {{"call", std::string(call)}});
+        logLine(failed ? LogLevel::Warn : LogLevel::Info, failed ? "store-lost" : "store-regained", {{"call", std::string(wireName(call))}});
     }
     if (!result) {
         ++m_failures;
-        logLine(LogLevel::Warn, "store-call-failed", {{"call", std::string(call)}, {"error", std::string(wireName(result.error().kind))}});
+        logLine(LogLevel::Warn, "store-call-failed", {{"call", std::string(wireName(call))}, {"error", std::string(wireName(result.error().kind))}});
     }
     return result.has_value();
 }
@@ -117,38 +146,37 @@
     while (sleepFor(pause)) {
         pause = contactRound();
     }
-    dropLease();
+    endLease();
 }
 
 Duration StoreSync::contactRound()
 {
     const FleetRoster roster = m_peers.roster();
-    const bool holder = chosen(roster, "contact", true, contactsPerZone);
-    const bool lonely = roster.present.size() == 1;
-    if ((holder || lonely) && Clock::now() >= m_nextRead && !readContacts(roster)) {
+    ContactView view;
+    view.lonely = roster.present.size() == 1;
+    view.chosen = chosen(roster, "contact", true, contactOptions.perZone);
+    view.holding = m_lease != 0;
+    const ContactRead read = dueRead(m_contactRole, view, contactOptions, m_contactRandom, Clock::now());
+    if (read != ContactRead::None && !readContacts(read)) {
         return backOff(m_contactFailures, m_contactRandom);
     }
-    const bool enough = lonely && m_zoneContacts >= contactsPerZone && Clock::now() < m_standBackUntil;
-    if (!holder || enough) {
-        dropLease();
-        return roleRound;
-    }
-    if (!holdLease()) {
+    if (!shouldHold(m_contactRole, view, contactOptions, Clock::now())) {
+        letLeaseLapse();
+    } else if (!holdLease()) {
         return backOff(m_contactFailures, m_contactRandom);
     }
     m_contactFailures = 0;
-    return lonely ? Duration(roleRound) : Duration(leaseRound);
+    return view.lonely ? lonelyRound : roleRound;
 }
 
-bool StoreSync::readContacts(const FleetRoster &roster)
+bool StoreSync::readContacts(ContactRead read)
 {
-    const auto reply = m_store.range(std::string(nodePrefix), callDeadline());
-    if (!answered("read-contacts", reply)) {
+    const auto &range = read == ContactRead::Latest ? m_store.range : m_store.rangeRecent;
+    const auto reply = range(std::string(nodePrefix), callDeadline());
+    if (!answered(StoreCall::ReadContacts, reply)) {
         return false;
     }
-    const bool lonely = roster.present.size() == 1;
-    m_nextRead = Clock::now() + (lonely ? Duration(roleRound) : Duration(contactReadInterval));
-    m_zoneContacts = 0;
+    std::size_t zoneContacts = 0;
     std::vector<Endpoint> contacts;
     for (const auto &value : reply.value().values) {
         const auto record = decodeMember(value.value);
@@ -159,40 +187,59 @@
         if (record->node == m_node.settings.node) {
             continue;
         }
-        m_zoneContacts += record->zone == m_node.settings.zone ? 1 : 0;
+        zoneContacts += record->zone == m_node.settings.zone ? 1 : 0;
         contacts.push_back(record->gossip);
     }
+    noteContacts(m_contactRole, zoneContacts);
     m_peers.addContacts(contacts);
     return true;
 }
 
+bool StoreSync::keepLease()
+{
+    if (Clock::now() < m_nextKeep) {
+        return true;
+    }
+    const auto kept = m_store.keepLease(m_lease, callDeadline());
+    if (!answered(StoreCall::KeepLease, kept)) {
+        m_lease = kept.error().kind == StoreErrorKind::Rejected ? 0 : m_lease; // Busy says nothing of the lease.
+        m_contact = m_lease != 0;
+        return false;
+    }
+    m_nextKeep = Clock::now() + leaseRound;
+    return true;
+}
+
+bool StoreSync::takeLease()
+{
+    const auto granted = m_store.grantLease(leaseTime, callDeadline());
+    if (!answered(StoreCall::GrantLease, granted)) {
+        return false;
+    }
+    m_lease = granted.value();
+    m_published = {};
+    m_nextKeep = Clock::now() + leaseRound;
+    return true;
+}
+
+/// Keeps the node's contact key under a lease; the key is written anew when the node's incarnation changed.
 bool StoreSync::holdLease()
 {
-    if (m_lease != 0) {
-        const auto kept = m_store.keepLease(m_lease, callDeadline());
-        if (!answered("keep-lease", kept)) {
-            m_lease = kept.error().kind == StoreErrorKind::Rejected ? 0 : m_lease; // Busy says nothing of the lease.
-            m_contact = m_lease != 0;
-            return false;
-        }
-        if (m_published == Incarnation{m_node.incarnation.value.load()}) {
-            return true;
-        }
-    } else {
-        const auto granted = m_store.grantLease(leaseTime, callDeadline());
-        if (!answered("grant-lease", granted)) {
-            return false;
-        }
-        m_lease = granted.value();
+    if (!(m_lease == 0 ? takeLease() : keepLease())) {
+        return false;
+    }
+    const Incarnation incarnation{m_node.incarnation.value.load()};
+    if (m_published == incarnation) {
+        return true;
     }
     MemberRecord record;
     record.node = m_node.settings.node;
-    record.incarnation = {m_node.incarnation.value.load()};
+    record.incarnation = incarnation;
     record.zone = m_node.settings.zone;
     record.region = m_node.settings.region;
     record.gossip = m_node.settings.gossip;
     const auto written = m_store.transact({{}, {{std::string(nodePrefix) + record.node.value, encodeMember(record), m_lease}}}, callDeadline());
-    if (!answered("put-contact", written)) {
+    if (!answered(StoreCall::PutContact, written)) {
         return false;
     }
     m_published = record.incarnation;
@@ -200,18 +247,22 @@
     return true;
 }
 
-void StoreSync::dropLease()
+/// A key that stays until its lease lapses names a living node, so it does no harm and giving it back isn't worth a call.
+void StoreSync::letLeaseLapse()
 {
-    if (m_lease == 0) {
-        return;
-    }
-    // At a stop nothing may hold the process up; a lease that stays lapses by itself.
-    const Deadline deadline = m_stopWatch.stop_requested() ? deadlineAfter(Clock::now(), stopCallTimeout) : callDeadline();
-    answered("revoke-lease", m_store.revokeLease(m_lease, deadline));
     m_lease = 0;
     m_contact = false;
 }
 
+/// At a stop nothing may hold the process up; a lease that stays lapses by itself.
+void StoreSync::endLease()
+{
+    if (m_lease != 0) {
+        answered(StoreCall::RevokeLease, m_store.revokeLease(m_lease, deadlineAfter(Clock::now(), stopCallTimeout)));
+        letLeaseLapse();
+    }
+}
+
 void StoreSync::followHead()
 {
     Duration pause = upTo(startJitter, m_headRandom);
@@ -228,26 +279,32 @@
         m_headRevision = 0;
         return roleRound;
     }
+    m_headChanged = false;
     const bool full = m_headRevision == 0 || Clock::now() >= m_nextFullRead;
-    const bool answeredWell = full ? readAndApplyHead() : watchHead();
-    if (!answeredWell) {
-        m_headRevision = 0;
+    if (!(full ? readAndApplyHead() : watchHead())) {
         return backOff(m_headFailures, m_headRandom);
     }
     m_headFailures = 0;
-    return Duration::zero();
+    return headPause();
+}
+
+/// After a change the next watch waits a moment, so that changes in quick succession come in one answer.
+Duration StoreSync::headPause()
+{
+    return m_headChanged ? leastChangePause + upTo(changePauseSpread, m_headRandom) : Duration::zero();
 }
 
 bool StoreSync::readAndApplyHead()
 {
     const auto reply = m_store.range(m_releases.key, callDeadline());
-    if (!answered("read-head", reply)) {
+    if (!answered(StoreCall::ReadHead, reply)) {
         return false;
     }
     m_nextFullRead = Clock::now() + fullReadInterval;
     m_headRevision = reply.value().revision;
     for (const auto &value : reply.value().values) {
         if (value.key == m_releases.key && !applyHead(value.value)) {
+            m_headRevision = 0;
             return false;
         }
     }
@@ -258,19 +315,33 @@
 {
     const auto reply = m_store.watch(m_releases.key, m_headRevision + 1, deadlineAfter(Clock::now(), watchTime), m_stopWatch.get_token());
     if (m_stopWatch.stop_requested()) {
-        ++m_calls;
+        noteCall(StoreCall::WatchHead);
         return true;
     }
-    if (!answered("watch-head", reply)) {
+    if (!answered(StoreCall::WatchHead, reply)) {
+        const bool historyKept = reply.error().kind != StoreErrorKind::Rejected && reply.error().kind != StoreErrorKind::Malformed;
+        m_headRevision = historyKept ? m_headRevision : 0;
         return false;
     }
     m_headRevision = std::max(m_headRevision, reply.value().revision);
-    for (const auto &event : reply.value().events) {
-        if (!event.removed && event.value.key == m_releases.key && !applyHead(event.value.value)) {
-            return false;
+    m_headChanged = !reply.value().events.empty();
+    return applyNewest(reply.value().events);
+}
+
+/// Applies the last of the head's changes, which holds all that the earlier ones brought. An earlier one serves while the last
+/// can't be read.
+bool StoreSync::applyNewest(const std::vector<StoreEvent> &events)
+{
+    for (auto event = events.rbegin(); event != events.rend(); ++event) {
+        if (event->removed || event->value.key != m_releases.key) {
+            continue;
+        }
+        if (applyHead(event->value.value)) {
+            return true;
         }
+        m_headRevision = 0;
     }
-    return true;
+    return m_headRevision != 0;
 }
 
 bool StoreSync::applyHead(const std::string &bytes)
@@ -283,7 +354,7 @@
     if (head->generation <= m_node.bundles.current()->head.generation) {
         return true;
     }
-    ++m_calls;
+    noteCall(StoreCall::ReadBundle);
     const auto text = m_releases.text(m_store, *head, bytes, callDeadline());
     if (!text) {
         logLine(LogLevel::Error, "bundle-refused",
--- a/src/agatedoor/control/store_sync.hpp
+++ b/src/agatedoor/control/store_sync.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "agatedoor/base/random.hpp"
+#include "agatedoor/membership/contact_role.hpp"
 #include "agatedoor/release/release_source.hpp"
 #include "agatedoor/state/store.hpp"
 #include "node_state.hpp"
 #include "peer_sync.hpp"
 
+#include <array>
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
@@ -15,10 +17,28 @@
 /// @brief The node's bounded use of the store: addresses to join by, and the head record.
 namespace agatedoor {
 
+/// @brief Calls to the store, told apart in logs and metrics.
+enum class StoreCall {
+    ReadContacts,
+    GrantLease,
+    PutContact,
+    KeepLease,
+    RevokeLease,
+    ReadHead,
+    WatchHead,
+    ReadBundle,
+};
+
+/// @brief Number of kinds of calls.
+inline constexpr std::size_t storeCallCount = 8;
+
+/// @brief Word for @p call in logs and metrics.
+std::string_view wireName(StoreCall call);
+
 /// @brief Figures for the dump and the metrics.
 struct StoreSyncFigures
 {
-    std::uint64_t calls = 0;
+    std::array<std::uint64_t, storeCallCount> calls{}; ///< By kind.
     std::uint64_t failures = 0;
     bool contact = false; ///< This node keeps an address to join by in the store.
     bool watcher = false; ///< This node watches the head record for its region.
@@ -43,19 +63,25 @@
 private:
     void keepContact();
     Duration contactRound();
-    bool readContacts(const FleetRoster &roster);
+    bool readContacts(ContactRead read);
     bool holdLease();
-    void dropLease();
+    bool takeLease();
+    bool keepLease();
+    void letLeaseLapse();
+    void endLease();
     void followHead();
     Duration headRound();
     bool readAndApplyHead();
     bool watchHead();
+    void noteCall(StoreCall call);
+    Duration headPause();
+    bool applyNewest(const std::vector<StoreEvent> &events);
     bool applyHead(const std::string &bytes);
     bool chosen(const FleetRoster &roster, std::string_view purpose, bool zoneOnly, std::size_t count) const;
     bool sleepFor(Duration time);
     Duration backOff(int &failed, Random &random) const;
     template <typename T>
-    bool answered(std::string_view call, const StoreResult<T> &result);
+    bool answered(StoreCall call, const StoreResult<T> &result);
 
     NodeState &m_node;
     PeerSync &m_peers;
@@ -63,16 +89,16 @@
     ReleaseSource m_releases;
     LeaseId m_lease = 0;
     Incarnation m_published;
-    std::size_t m_zoneContacts = 0; ///< Other nodes of this zone that the store names.
-    TimePoint m_nextRead;
-    TimePoint m_standBackUntil; ///< Until then contacts that are there already are enough.
+    ContactRole m_contactRole;
+    TimePoint m_nextKeep; ///< Of the lease.
     TimePoint m_nextFullRead;
-    Revision m_headRevision = 0;
+    Revision m_headRevision = 0; ///< Up to which changes are known; 0 when the head is to be read anew.
+    bool m_headChanged = false; ///< The last watch brought a change.
     int m_contactFailures = 0;
     int m_headFailures = 0;
     Random m_contactRandom = entropyRandom();
     Random m_headRandom = entropyRandom();
-    std::atomic<std::uint64_t> m_calls{0};
+    std::array<std::atomic<std::uint64_t>, storeCallCount> m_calls{};
     std::atomic<std::uint64_t> m_failures{0};
     std::atomic<bool> m_watcher{false};
     std::atomic<bool> m_contact{false};
--- /dev/null
+++ b/src/agatedoor/membership/contact_role_test.cpp
@@ -0,0 +1,197 @@
+#include "agatedoor/membership/contact_role.hpp"
+
+#include "support/story.hpp"
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+namespace agatedoor {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr ContactOptions options{};
+constexpr milliseconds roundTime{50};
+constexpr milliseconds staleness{3000}; ///< Age of what a read of recent state may return.
+
+/// One node of a simulated availability zone.
+struct Node
+{
+    ContactRole role;
+    bool running = false;
+    bool joined = false;
+    bool holding = false;
+    double calls = 0; ///< Priced like the platform does: a read of recent state and a renewal cost a tenth.
+};
+
+/// Nodes of one zone and the contact keys of a store, in virtual time. A node joins as soon as a read names a running one.
+class Zone
+{
+public:
+    explicit Zone(std::size_t nodes)
+        : m_nodes(nodes)
+    {
+    }
+
+    void start(std::size_t node)
+    {
+        m_nodes[node] = {};
+        m_nodes[node].running = true;
+        m_nodes[node].role.startedAt = m_now;
+    }
+
+    void run(Duration time)
+    {
+        for (const TimePoint end = m_now + time; m_now < end; m_now += roundTime) {
+            for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+                step(i);
+            }
+            m_history[m_now] = m_keys;
+        }
+    }
+
+    double calls() const
+    {
+        double sum = 0;
+        for (const auto &node : m_nodes) {
+            sum += node.calls;
+        }
+        return sum;
+    }
+
+    std::size_t keys() const { return m_keys.size(); }
+    bool joined(std::size_t node) const { return m_nodes[node].joined; }
+    bool allJoined() const
+    {
+        return std::all_of(m_nodes.begin(), m_nodes.end(), [](const Node &node) { return node.joined; });
+    }
+    void forgetCalls()
+    {
+        std::for_each(m_nodes.begin(), m_nodes.end(), [](Node &node) { node.calls = 0; });
+    }
+
+private:
+    using Keys = std::vector<std::size_t>;
+
+    Keys recent() const
+    {
+        const auto found = m_history.upper_bound(m_now - staleness);
+        return found == m_history.begin() ? Keys{} : std::prev(found)->second;
+    }
+
+    /// The fleet chooses the first joined nodes.
+    bool chosen(std::size_t index) const
+    {
+        const auto before = std::count_if(m_nodes.begin(), m_nodes.begin() + static_cast<std::ptrdiff_t>(index), [](const Node &node) { return node.joined; });
+        return m_nodes[index].joined && static_cast<std::size_t>(before) < options.perZone;
+    }
+
+    void step(std::size_t index)
+    {
+        Node &node = m_nodes[index];
+        if (!node.running) {
+            return;
+        }
+        const ContactView view{!node.joined, !node.joined || chosen(index), node.holding};
+        const ContactRead read = dueRead(node.role, view, options, m_random, m_now);
+        if (read != ContactRead::None) {
+            node.calls += read == ContactRead::Latest ? 1 : 0.1;
+            take(index, read == ContactRead::Latest ? m_keys : recent());
+        }
+        const bool hold = shouldHold(node.role, {!node.joined, view.chosen, node.holding}, options, m_now);
+        if (hold && !node.holding) {
+            node.calls += 2;
+            m_keys.push_back(index);
+        }
+        if (!hold && node.holding) {
+            std::erase(m_keys, index);
+        }
+        node.holding = hold;
+    }
+
+    void take(std::size_t index, Keys keys)
+    {
+        std::erase(keys, index);
+        noteContacts(m_nodes[index].role, keys.size());
+        for (const std::size_t other : keys) {
+            if (m_nodes[other].running) {
+                m_nodes[index].joined = m_nodes[other].joined = true;
+            }
+        }
+    }
+
+    std::vector<Node> m_nodes;
+    Keys m_keys;
+    std::map<TimePoint, Keys> m_history;
+    TimePoint m_now{seconds(100)};
+    Random m_random{7};
+};
+
+} // namespace
+
+TEST(ContactRole, CostsFewCalls)
+{
+    constexpr std::size_t size = 12;
+    constexpr std::size_t restarted = 7;
+    Zone zone(size);
+    test::section("nodes of a zone that start together find each other", [&] {
+        for (std::size_t i = 0; i < size; ++i) {
+            zone.start(i);
+        }
+        zone.run(seconds(2));
+        EXPECT_TRUE(zone.allJoined());
+        EXPECT_LE(zone.calls(), 2.0 * size);
+        test::section("and are named by as many keys as are needed", [&] {
+            zone.run(seconds(10));
+            EXPECT_EQ(zone.keys(), options.perZone);
+        });
+    });
+    test::section("one that starts again joins at once by what the store named some seconds ago", [&] {
+        zone.forgetCalls();
+        zone.start(restarted);
+        zone.run(milliseconds(100));
+        EXPECT_TRUE(zone.joined(restarted));
+        EXPECT_LE(zone.calls(), 0.2);
+    });
+}
+
+TEST(ContactRole, IsKeptOrGivenUpOnlyOnceTheChoiceLasts)
+{
+    const TimePoint start{seconds(100)};
+    ContactRole role;
+    role.startedAt = start;
+    test::section("a member that is chosen for a moment registers nothing", [&] {
+        EXPECT_FALSE(shouldHold(role, {false, true, false}, options, start));
+        EXPECT_FALSE(shouldHold(role, {false, false, false}, options, start + seconds(1)));
+        EXPECT_FALSE(shouldHold(role, {false, true, false}, options, start + seconds(2)));
+        test::section("and one that stays chosen does", [&] { EXPECT_TRUE(shouldHold(role, {false, true, false}, options, start + seconds(4))); });
+    });
+    test::section("a contact that others replace for a moment stays one", [&] {
+        EXPECT_TRUE(shouldHold(role, {false, true, true}, options, start + seconds(5)));
+        EXPECT_TRUE(shouldHold(role, {false, false, true}, options, start + seconds(10)));
+        EXPECT_TRUE(shouldHold(role, {false, true, true}, options, start + seconds(11)));
+        EXPECT_TRUE(shouldHold(role, {false, false, true}, options, start + seconds(20)));
+        EXPECT_FALSE(shouldHold(role, {false, false, true}, options, start + seconds(22)));
+    });
+}
+
+TEST(ContactRole, DoesNotTrustContactsThatDontAnswer)
+{
+    const TimePoint start{seconds(100)};
+    ContactRole role;
+    role.startedAt = start;
+    Random random{1};
+    const ContactView lonely{true, true, false};
+    EXPECT_EQ(dueRead(role, lonely, options, random, start), ContactRead::Recent);
+    noteContacts(role, options.perZone);
+    EXPECT_FALSE(shouldHold(role, lonely, options, start));
+    EXPECT_EQ(dueRead(role, lonely, options, random, start + seconds(1)), ContactRead::Latest);
+    noteContacts(role, options.perZone);
+    EXPECT_FALSE(shouldHold(role, lonely, options, start + seconds(1)));
+    EXPECT_TRUE(shouldHold(role, lonely, options, start + options.standBack));
+}
+
+} // namespace agatedoor
--- a/src/agatedoor/wire/etcd_store.cpp
+++ b/src/agatedoor/wire/etcd_store.cpp
@@ -154,11 +154,12 @@
     return true;
 }
 
-StoreResult<RangeReply> range(const std::vector<Endpoint> &endpoints, const std::string &prefix, bool keysOnly, Deadline deadline)
+/// @param extra field that is set besides key and end
+StoreResult<RangeReply> range(const std::vector<Endpoint> &endpoints, const std::string &prefix, std::optional<std::string_view> extra, Deadline deadline)
 {
     json::object body{{"key", toBase64(prefix)}, {"range_end", toBase64(prefixEnd(prefix))}};
-    if (keysOnly) {
-        body["keys_only"] = true;
+    if (extra) {
+        body[*extra] = true;
     }
     BOOST_OUTCOME_TRY(const json::object reply, call(endpoints, "/v3/kv/range", body, deadline));
     RangeReply result;
@@ -374,8 +375,9 @@
 Store makeEtcdStore(const std::vector<Endpoint> &endpoints)
 {
     Store store;
-    store.range = [endpoints](const std::string &prefix, Deadline deadline) { return range(endpoints, prefix, false, deadline); };
-    store.listKeys = [endpoints](const std::string &prefix, Deadline deadline) { return range(endpoints, prefix, true, deadline); };
+    store.range = [endpoints](const std::string &prefix, Deadline deadline) { return range(endpoints, prefix, std::nullopt, deadline); };
+    store.rangeRecent = [endpoints](const std::string &prefix, Deadline deadline) { return range(endpoints, prefix, "serializable", deadline); };
+    store.listKeys = [endpoints](const std::string &prefix, Deadline deadline) { return range(endpoints, prefix, "keys_only", deadline); };
     store.transact = [endpoints](const StoreTransaction &transaction, Deadline deadline) { return transact(endpoints, transaction, deadline); };
     store.remove = [endpoints](const std::string &key, Deadline deadline) { return removeKey(endpoints, key, deadline); };
     store.grantLease = [endpoints](std::chrono::seconds timeToLive, Deadline deadline) { return grantLease(endpoints, timeToLive, deadline); };
--- a/src/agatedoor/wire/http_call.cpp
+++ b/src/agatedoor/wire/http_call.cpp
@@ -1,5 +1,7 @@
 #include "agatedoor/wire/http_call.hpp"
 
+#include "idle_probe.hpp"
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -59,7 +61,11 @@
     stream.expires_at(deadline.at);
     const asio::ip::tcp::endpoint target(address, endpoint.port);
     co_await stream.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
-    co_return !error;
+    if (error) {
+        co_return false;
+    }
+    probeWhileIdle(stream.socket());
+    co_return true;
 }
 
 asio::awaitable<bool> sendRequest(beast::tcp_stream &stream, const Endpoint &endpoint, const HttpRequest &request)
