Weigh the bytes that would leave a zone or region

Cause: a farther backend server won by any lower cost. Ruled out: barring other zones while the own one has room, since a small request gains from the spread. Test: Routing.LargeBodiesLeaveTheirZoneOnlyForAGain, which fails without the price.

--- a/include/agatedoor/decide/routing.hpp
+++ b/include/agatedoor/decide/routing.hpp
@@ -2,6 +2,7 @@
 
 #include "agatedoor/base/random.hpp"
 #include "agatedoor/decide/candidate.hpp"
+#include "agatedoor/decide/crossing.hpp"
 #include "agatedoor/decide/predicted_cost.hpp"
 
 #include <cstddef>
@@ -30,6 +31,7 @@
 {
     RoutingPolicy policy = RoutingPolicy::PredictedCost;
     CostOptions cost;
+    Crossing crossing{}; ///< Least gain for which the request leaves for each locality.
     bool nearOnly = false; ///< Leaves the region only when nothing in it is in order.
     bool mayCrossRegion = true; ///< The cross-region byte budget allows this request to leave the region for a gain.
 };
@@ -37,7 +39,8 @@
 /// @brief Index of the chosen candidate, or none when no candidate may take the request.
 ///
 /// Ejected and avoided candidates are used only when no other one is left, draining and excluded ones never. PredictedCost
-/// draws two candidates of each locality by weight; a farther one is taken only for a lower cost, path delay included.
+/// draws two candidates of each locality by weight; a farther one is taken only when its cost, path delay included, is lower by the
+/// least gain for its locality.
 /// @param turn counter that RoundRobin advances
 std::optional<std::size_t> chooseBackend(std::span<const Candidate> candidates, const RoutingOptions &options, TimePoint now, Random &random,
                                          std::size_t &turn);
--- a/src/agatedoor/decide/routing.cpp
+++ b/src/agatedoor/decide/routing.cpp
@@ -184,7 +184,7 @@
     return first.cost <= second.cost ? first : second;
 }
 
-/// Near localities first; a farther one wins only by a lower cost, and another region only within its budget.
+/// Near localities first; a farther one wins only by a lower cost, the least gain for it included, and another region only within its budget.
 std::size_t leastCost(Pool pool, const RoutingOptions &options, TimePoint now, Random &random)
 {
     const TypicalLoad typical = typicalLoad(pool.candidates, options.cost);
@@ -195,7 +195,10 @@
         if (best && barred) {
             break;
         }
-        const auto drawn = cheaperOfTwo(pool, typical, options.cost, now, random);
+        auto drawn = cheaperOfTwo(pool, typical, options.cost, now, random);
+        if (drawn) {
+            drawn->cost += options.crossing.at(static_cast<std::size_t>(i));
+        }
         if (drawn && (!best || drawn->cost < best->cost)) {
             best = drawn;
         }
--- a/src/agatedoor/decide/routing_test.cpp
+++ b/src/agatedoor/decide/routing_test.cpp
@@ -187,4 +187,34 @@
     });
 }
 
+/// Uploads of 60 KB and lookups of 3 KB, with one backend server in the zone and others elsewhere, as in a small zone.
+TEST(Routing, LargeBodiesLeaveTheirZoneOnlyForAGain)
+{
+    std::vector<Candidate> candidates{idle(Locality::SameZone), idle(Locality::SameRegion), idle(Locality::SameRegion), idle(Locality::OtherRegion)};
+    for (auto &candidate : candidates) {
+        candidate.serviceTime = milliseconds(150);
+    }
+    Candidate &near = candidates.front();
+    RoutingOptions upload;
+    upload.crossing = crossingOf(Bytes{60'000});
+    RoutingOptions lookup;
+    lookup.crossing = crossingOf(Bytes{3'000});
+    test::section("while the near one is a third busy, lookups spread and uploads stay", [&] {
+        near.ownInFlight = 3;
+        EXPECT_LT(shares(candidates)[0], 0.1);
+        EXPECT_LT(shares(candidates, lookup)[0], 0.1);
+        EXPECT_GT(shares(candidates, upload)[0], 0.9);
+    });
+    test::section("when it is full, uploads go to another zone and not to another region", [&] {
+        near.ownInFlight = 14;
+        const auto spread = shares(candidates, upload);
+        EXPECT_LT(spread[0], 0.1);
+        EXPECT_GT(spread[1] + spread[2], 0.9);
+    });
+    test::section("and to another region when the zones around are full too", [&] {
+        candidates[1].ownInFlight = candidates[2].ownInFlight = near.ownInFlight = 40;
+        EXPECT_GT(shares(candidates, upload)[3], 0.9);
+    });
+}
+
 } // namespace agatedoor
--- a/src/agatedoor/proxy/choose.cpp
+++ b/src/agatedoor/proxy/choose.cpp
@@ -60,6 +60,7 @@
     options.policy = context.service->routing;
     options.nearOnly = context.nearOnly;
     options.mayCrossRegion = mayLeaveRegion(context, now);
+    options.crossing = crossingOf(expectedLinkBytes(context));
     const auto chosen = chooseBackend(candidates, options, now, context.worker.random, context.worker.turn);
     return chosen ? &found->second[*chosen] : nullptr;
 }
@@ -85,6 +86,7 @@
     attempt.pathDelay = expectedPathDelay(node, entry);
     learn(*entry.stats, attempt, ejectionOptions, now);
     countLinkTraffic(context, entry, result, now);
+    learnAnswerSize(context, result);
     if (result.load && result.load->atOwner > Duration::zero()) {
         recordPathDelay(node.pathDelays, entry.locality, attempt.end.elapsed, result.load->atOwner);
     }
--- a/src/agatedoor/proxy/link_traffic.cpp
+++ b/src/agatedoor/proxy/link_traffic.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t fieldOverhead = 4; ///< Colon, space and line end of a header field.
+constexpr std::int64_t sizeSamples = 8; ///< A new answer counts one part in so many.
 
 TrafficRates ratesOf(const BundleInForce &inForce, const Worker &worker)
 {
@@ -67,4 +68,21 @@
     ++context.worker.metrics.crossRegionAttempts;
 }
 
+Bytes expectedLinkBytes(const RequestContext &context)
+{
+    const auto &sizes = context.worker.answerBytes;
+    const auto known = sizes.find(context.service->name);
+    return {bytesOf(context.request) + (known == sizes.end() ? 0 : known->second)};
+}
+
+void learnAnswerSize(RequestContext &context, const AttemptResult &result)
+{
+    if (!result.response) {
+        return;
+    }
+    const std::int64_t size = bytesOf(*result.response);
+    const auto [known, isNew] = context.worker.answerBytes.try_emplace(context.service->name, size);
+    known->second += (size - known->second) / sizeSamples;
+}
+
 } // namespace agatedoor
--- a/src/agatedoor/proxy/link_traffic.hpp
+++ b/src/agatedoor/proxy/link_traffic.hpp
@@ -17,4 +17,10 @@
 /// @brief Counts the request and its answer when @p entry is in another region.
 void countLinkTraffic(RequestContext &context, const BackendEntry &entry, const AttemptResult &result, TimePoint now);
 
+/// @brief Bytes that the request and its answer are expected to move between two nodes.
+Bytes expectedLinkBytes(const RequestContext &context);
+
+/// @brief Takes the size of an answer into what is expected of its service.
+void learnAnswerSize(RequestContext &context, const AttemptResult &result);
+
 } // namespace agatedoor
--- a/src/agatedoor/proxy/worker.hpp
+++ b/src/agatedoor/proxy/worker.hpp
@@ -34,6 +34,7 @@
     TrafficBudget traffic; ///< This thread's share of the link budgets.
     std::unordered_map<ServiceName, RetryBudget> retryBudgets; ///< Of each service, so that one can't spend what another has put in.
     std::unordered_map<ServiceName, QuantileEstimate> tails; ///< High quantile of each service's answer time.
+    std::unordered_map<ServiceName, std::int64_t> answerBytes; ///< Average size of each service's answers.
     Metrics metrics;
 };
 
