End a process whose clean-up hangs, and say in which step; read the configuration sooner after a start

Ruled out by a trial with a line a step: requests in progress, the lease (calls end within 0.2 s). It didn't hang in that trial, so the step isn't known. Change: one second after the last request the process ends by itself, with a line on standard error that names the step. The first calls to the store are spread over 50 ms and not 200 ms: a node that restarts alone answered no-bundle meanwhile. Tests: ExitGuardDeathTest.EndsAProcessThatHangsAndNamesTheStep. Conclusion: the hang is an open finding; its next occurrence names its step.

--- a/src/agatedoor/control/store_sync.cpp
+++ b/src/agatedoor/control/store_sync.cpp
@@ -22,7 +22,7 @@
 constexpr std::chrono::seconds fullReadInterval{60};
 constexpr Duration leastChangePause = std::chrono::milliseconds(200);
 constexpr Duration changePauseSpread = std::chrono::milliseconds(400); ///< Peers whose pause ends sooner tell the others of the change.
-constexpr std::chrono::milliseconds startJitter{200};
+constexpr std::chrono::milliseconds startJitter{50}; ///< Spreads the first calls of nodes that start together.
 constexpr std::chrono::milliseconds leastBackOff{200};
 constexpr int mostDoublings = 5;
 
--- a/src/agatedoor/node/node.cpp
+++ b/src/agatedoor/node/node.cpp
@@ -9,6 +9,7 @@
 #include "agatedoor/wire/etcd_store.hpp"
 #include "agatedoor/wire/log.hpp"
 #include "backend_api.hpp"
+#include "exit_guard.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -30,6 +31,7 @@
 constexpr std::chrono::milliseconds fleetNotice{500}; ///< News of a stop spreads in gossip intervals.
 constexpr std::chrono::milliseconds quietTime{100}; ///< A request that was sent before its caller saw the close has arrived by then.
 constexpr std::chrono::milliseconds exitTime{500}; ///< Left for the end of the process.
+constexpr std::chrono::seconds exitLimit{1}; ///< An end that takes longer hangs.
 constexpr std::chrono::seconds defaultDrainLimit{30};
 
 using Serve = asio::awaitable<void> (*)(Worker &, tcp::socket);
@@ -227,6 +229,7 @@
     NodeState node(settings, std::move(edges.headers), edges.releases.parse);
     node.incarnation = incarnationNow();
     const Workers workers = makeWorkers(node);
+    const ExitStep dropRequests{"drop-requests"};
     asio::io_context control{1};
     auto callers = listen(control, settings.callers);
     if (!callers) {
@@ -238,11 +241,14 @@
     }
     BOOST_OUTCOME_TRY(const auto backendApi, HttpService::start(settings.backends, makeBackendApi(node)));
     BOOST_OUTCOME_TRY(const auto peerSync, PeerSync::start(node));
+    const ExitStep closePeers{"close-peers"};
     StoreSync storeSync(node, *peerSync, std::move(edges.store), std::move(edges.releases));
+    const ExitStep endStoreThreads{"end-store-threads"};
     BOOST_OUTCOME_TRY(const auto adminApi, HttpService::start(settings.admin, makeAdminApi(node, workers, fleetReport(*peerSync, storeSync))));
     node.localBackends.onChange([&peerSync] { peerSync->wake(); });
     peerSync->wake();
     const WorkerThreads threads(workers);
+    const ExitStep joinWorkers{"join-workers"};
     asio::co_spawn(control, acceptLoop(*callers, workers, serveCaller), asio::detached);
     asio::co_spawn(control, acceptLoop(*peers, workers, servePeer), asio::detached);
     asio::co_spawn(control, checkOnSignal(control, settingsFile), asio::detached);
@@ -252,6 +258,8 @@
              {"service", settings.service ? settings.service->value : std::string()},
              {"incarnation", static_cast<std::int64_t>(node.incarnation.value.load())}});
     control.run();
+    guardExit(deadlineAfter(Clock::now(), exitLimit));
+    enterExitStep("leave-fleet");
     node.localBackends.onChange({});
     peerSync->leave();
     return Done{};
