Read the announced size of a hop's body without an optional of the parser

Cause: in the build with the address sanitizer g++ 12 takes the parser's empty optional for uninitialized once serveOne inlines announcedBody; warnings are errors there, so the whole check stopped. Ruled out: a real read of uninitialized bytes; value_or never reads an empty optional. Change: the length is read from the head, which the parser has checked. No behaviour change.

--- a/src/agatedoor/proxy/hop_server.cpp
+++ b/src/agatedoor/proxy/hop_server.cpp
@@ -147,7 +147,7 @@
 /// Size of a body that is announced by its length; 0 for an offered one, whose length is not known yet.
 std::int64_t announcedBody(const Parser &parser)
 {
-    return static_cast<std::int64_t>(parser.content_length().value_or(0));
+    return header::number(parser.get(), "Content-Length").value_or(0);
 }
 
 /// Refuses before anything was dispatched. The connection stays usable when its next bytes are known to be a request.
