--- a/cmake/agatedoor_options.cmake
+++ b/cmake/agatedoor_options.cmake
@@ -1,4 +1,4 @@
-# Compiler warnings, sanitizers and the compiler cache, for every target of the project.
+# Compiler warnings and sanitizers, for every target of the project.
 
 set(AGATEDOOR_SANITIZE "" CACHE STRING "Sanitizer set: empty, thread, or address (address brings undefined behaviour too)")
 
@@ -19,8 +19,3 @@
     add_compile_options(-fsanitize=address,undefined -fno-sanitize-recover=undefined -fno-omit-frame-pointer)
     add_link_options(-fsanitize=address,undefined)
 endif()
-
-find_program(AGATEDOOR_CCACHE ccache)
-if(AGATEDOOR_CCACHE)
-    set(CMAKE_CXX_COMPILER_LAUNCHER "${AGATEDOOR_CCACHE}")
-endif()
