Keep a leave that was acknowledged, also of a backend server that the node doesn't know

Cause: `LocalBackendController` kept a withdrawn life only when it knew the backend server. The restarted node answered the withdrawal with `unknown-backend` and forgot it; an announcement that had been sent before came 2.25 s later and was accepted. Ruled out: the fleet's view (the node itself accepted the announcement) and the sequence (22, which nothing was there to compare with). Looking for the same elsewhere showed that a drain by call didn't outlast a late announcement with a later number either, and that withdrawn lives were kept without bound.

Change: `membership/departures` remembers lives that left: by their start where the node knew them, else all that began before the acknowledgement by the VM's time of day; 64 ids, 30 s. A late announcement of a life that was withdrawn is stale, one of a life that was drained is taken as draining. A drain and a withdrawal of an unknown backend server are answered 200, since they now hold. The log line of a drain has an outcome as that of a withdrawal has (golden file).

One check is replaced: a backend server that states no start could come back at once after its withdrawal; now it must be refused while late announcements may come and taken after that, both checked to the millisecond.

Evidence: on the code before, an unknown "a" withdrawn and announced was known, an unknown "b" drained and announced took work (both checks failed). After: `LocalBackends.*`, `Departures.*`, `DepartureProcess.*` pass, with steps of 5 s of the time of day in both directions before and after the withdrawal.

--- a/src/agatedoor/membership/local_backends.cpp
+++ b/src/agatedoor/membership/local_backends.cpp
@@ -34,7 +34,7 @@
 /// Removes earlier backend servers at the same address; only one process can listen there.
 void removeReplaced(LocalBackends &backends, const Announcement &announcement)
 {
-    if (announcement.life.born == 0) {
+    if (announcement.life.born.value == 0) {
         return;
     }
     for (auto it = backends.backends.begin(); it != backends.backends.end();) {
@@ -51,8 +51,6 @@
 std::string_view wireName(AnnounceError error)
 {
     switch (error) {
-    case AnnounceError::UnknownBackend:
-        return "unknown-backend";
     case AnnounceError::BadSlots:
         return "bad-slots";
     case AnnounceError::BadConnections:
@@ -65,6 +63,11 @@
     return "unnamed";
 }
 
+std::string_view wireName(LeaveEffect effect)
+{
+    return effect == LeaveEffect::Left ? "accepted" : "remembered";
+}
+
 BackendRecord recordForFleet(const LocalBackend &backend)
 {
     BackendRecord record = backend.record;
@@ -96,11 +99,10 @@
     }
 }
 
-bool LocalBackendController::late(const Announcement &announcement, const LocalBackends &known) const
+bool LocalBackendController::late(const Announcement &announcement, const LocalBackends &known, TimePoint now) const
 {
     const BackendLife &life = announcement.life;
-    const auto withdrawn = m_withdrawn.find(announcement.record.backend);
-    if (withdrawn != m_withdrawn.end() && life.born <= withdrawn->second) {
+    if (departureOf(m_departures, announcement.record.backend, life.born, now) == DepartureStep::Gone) {
         return true;
     }
     const auto found = known.backends.find(announcement.record.backend);
@@ -112,16 +114,23 @@
     return life.born < last.born || (life.born == last.born && life.sequence < last.sequence);
 }
 
-Result<Done, AnnounceError> LocalBackendController::announce(const Announcement &announcement, TimePoint now)
+Result<Done, AnnounceError> LocalBackendController::announce(const Announcement &received, const Moment &now)
 {
-    BOOST_OUTCOME_TRYV2(auto &&, check(announcement.record));
+    BOOST_OUTCOME_TRYV2(auto &&, check(received.record));
     const std::lock_guard lock(m_publishing);
     const auto known = m_backends.current();
-    if (late(announcement, *known)) {
+    if (late(received, *known, now.at)) {
         return AnnounceError::Stale;
     }
+    Announcement announcement = received;
     const BackendId &id = announcement.record.backend;
-    m_heardAt[id] = now;
+    if (departureOf(m_departures, id, announcement.life.born, now.at)) {
+        announcement.record.status = BackendStatus::Draining;
+    }
+    if (announcement.record.status == BackendStatus::Draining && announcement.life.born.value > 0) {
+        rememberLeaving(id, DepartureStep::Draining, announcement.life.born, now);
+    }
+    m_heardAt[id] = now.at;
     const auto found = known->backends.find(id);
     const bool sameLife = found != known->backends.end() && found->second.life.born == announcement.life.born;
     LocalBackends next = *known;
@@ -163,36 +172,78 @@
     return forgotten;
 }
 
-Result<Done, AnnounceError> LocalBackendController::drain(const BackendId &backend)
+/// Of a life whose start isn't known, and of one that wasn't known at all, all that is sure is that it began before now.
+void LocalBackendController::rememberLeaving(const BackendId &backend, DepartureStep step, UnixTime born, const Moment &now)
+{
+    UnixTime lastBorn = born.value > 0 ? born : now.timeOfDay;
+    const auto earlier = m_departures.byBackend.find(backend);
+    if (earlier != m_departures.byBackend.end()) {
+        lastBorn = std::max(lastBorn, earlier->second.departure.lastBorn);
+    }
+    remember(m_departures, {backend, step, lastBorn}, now.at);
+}
+
+void LocalBackendController::stopWork(LocalBackends &backends, const BackendId &backend, DepartureStep step)
+{
+    LocalBackend &known = backends.backends.at(backend);
+    known.gate->draining.store(true);
+    known.record.status = BackendStatus::Draining;
+    if (step == DepartureStep::Gone) {
+        m_heardAt.erase(backend);
+        backends.backends.erase(backend);
+    }
+}
+
+LeaveEffect LocalBackendController::leaveAt(const BackendId &backend, DepartureStep step, const Moment &now)
 {
     const std::lock_guard lock(m_publishing);
     LocalBackends next = *m_backends.current();
     const auto found = next.backends.find(backend);
-    if (found == next.backends.end()) {
-        return AnnounceError::UnknownBackend;
+    const bool known = found != next.backends.end();
+    rememberLeaving(backend, step, known ? found->second.life.born : UnixTime{}, now);
+    if (known) {
+        stopWork(next, backend, step);
     }
-    found->second.record.status = BackendStatus::Draining;
-    found->second.gate->draining.store(true);
     publish(std::move(next));
-    return Done{};
+    return known ? LeaveEffect::Left : LeaveEffect::Remembered;
+}
+
+LeaveEffect LocalBackendController::drain(const BackendId &backend, const Moment &now)
+{
+    return leaveAt(backend, DepartureStep::Draining, now);
+}
+
+LeaveEffect LocalBackendController::withdraw(const BackendId &backend, const Moment &now)
+{
+    return leaveAt(backend, DepartureStep::Gone, now);
 }
 
-Result<Done, AnnounceError> LocalBackendController::withdraw(const BackendId &backend)
+std::vector<Departure> LocalBackendController::adopt(const std::vector<Departure> &departures, TimePoint now)
 {
     const std::lock_guard lock(m_publishing);
     LocalBackends next = *m_backends.current();
-    const auto found = next.backends.find(backend);
-    if (found == next.backends.end()) {
-        return AnnounceError::UnknownBackend;
+    std::vector<Departure> news;
+    for (const auto &departure : departures) {
+        if (!remember(m_departures, departure, now)) {
+            continue;
+        }
+        news.push_back(departure);
+        const auto found = next.backends.find(departure.backend);
+        const auto step = found == next.backends.end() ? std::nullopt : departureOf(m_departures, departure.backend, found->second.life.born, now);
+        if (step) {
+            stopWork(next, departure.backend, *step);
+        }
     }
-    found->second.gate->draining.store(true);
-    if (found->second.life.born > 0) {
-        m_withdrawn[backend] = found->second.life.born;
+    if (!news.empty()) {
+        publish(std::move(next));
     }
-    m_heardAt.erase(backend);
-    next.backends.erase(found);
-    publish(std::move(next));
-    return Done{};
+    return news;
+}
+
+std::vector<Departure> LocalBackendController::departures(TimePoint now) const
+{
+    const std::lock_guard lock(m_publishing);
+    return remembered(m_departures, now);
 }
 
 } // namespace agatedoor
--- a/src/agatedoor/node/backend_api.cpp
+++ b/src/agatedoor/node/backend_api.cpp
@@ -89,7 +89,7 @@
     Announcement announcement;
     announcement.record = {backend, {*service}, {*slots}, connectionsOf(node, object, {*service}, *slots), *status};
     announcement.endpoint = endpoint.value();
-    announcement.life = {integer(object, "born").value_or(0), integer(object, "sequence").value_or(0)};
+    announcement.life = {{integer(object, "born").value_or(0)}, integer(object, "sequence").value_or(0)};
     return announcement;
 }
 
@@ -98,8 +98,7 @@
     if (result || result.error() == AnnounceError::Stale) {
         return jsonReply(200, "{}");
     }
-    const int status = result.error() == AnnounceError::UnknownBackend ? 404 : 400;
-    return errorReply(status, wireName(result.error()));
+    return errorReply(400, wireName(result.error()));
 }
 
 HttpReply refuseAnnouncement(const BackendId &backend, std::string_view why)
@@ -121,7 +120,8 @@
     const auto known = node.localBackends.current();
     const auto before = known->backends.find(backend);
     const bool news = before == known->backends.end() || before->second.record != announcement->record || before->second.life.born != announcement->life.born;
-    const auto result = node.localBackends.announce(*announcement, Clock::now());
+    const Moment now = readClocks();
+    const auto result = node.localBackends.announce(*announcement, now);
     if (news || !result) {
         logLine(LogLevel::Info, "announce",
                 {{"backend", backend.value},
@@ -129,7 +129,7 @@
                  {"status", std::string(wireName(announcement->record.status))},
                  {"slots", announcement->record.slots.value},
                  {"connections", announcement->record.connections.value},
-                 {"born", announcement->life.born},
+                 {"born", announcement->life.born.value},
                  {"sequence", announcement->life.sequence},
                  {"outcome", result ? std::string("accepted") : std::string(wireName(result.error()))}});
     }
@@ -138,15 +138,16 @@
 
 HttpReply drain(NodeState &node, const BackendId &backend)
 {
-    logLine(LogLevel::Info, "drain", {{"backend", backend.value}});
-    return resultReply(node.localBackends.drain(backend));
+    const LeaveEffect effect = node.localBackends.drain(backend, readClocks());
+    logLine(LogLevel::Info, "drain", {{"backend", backend.value}, {"outcome", std::string(wireName(effect))}});
+    return jsonReply(200, "{}");
 }
 
 HttpReply withdraw(NodeState &node, const BackendId &backend)
 {
-    const auto result = node.localBackends.withdraw(backend);
-    logLine(LogLevel::Info, "withdraw", {{"backend", backend.value}, {"outcome", result ? std::string("accepted") : std::string(wireName(result.error()))}});
-    return resultReply(result);
+    const LeaveEffect effect = node.localBackends.withdraw(backend, readClocks());
+    logLine(LogLevel::Info, "withdraw", {{"backend", backend.value}, {"outcome", std::string(wireName(effect))}});
+    return jsonReply(200, "{}");
 }
 
 HttpReply show(const NodeState &node, const BackendId &backend)
@@ -154,7 +155,7 @@
     const auto backends = node.localBackends.current();
     const auto found = backends->backends.find(backend);
     if (found == backends->backends.end()) {
-        return errorReply(404, wireName(AnnounceError::UnknownBackend));
+        return errorReply(404, "unknown-backend");
     }
     const GateLoad load = loadOf(*found->second.gate);
     const json::object body{{"status", wireName(found->second.record.status)}, {"running", load.running}, {"queued", load.queued}};
