Bind the next process of a node, and other nodes, by leaves that were acknowledged

Backend servers could see: a node acknowledges that one of them leaves and is killed; its next process knows nothing of it, takes an announcement that was sent before the leave, and sends work more than 2 s after the acknowledgement.

Cause: what was acknowledged lived in the memory of one process. Ruled out: keeping it in the store (a write for each leave, and nothing while the store is away), and waiting for a second announcement after each start (1.5 s without the backend server after each restart of a node).

Change: a node's record in the fleet carries its departures. An announcement is also checked against what any member acknowledged, so one that reaches another node binds too. The start of a backend server's life is part of the record. State dump: `departures`; log: `departure-adopted`.

Evidence: `Membership.ARestartedNodeIsToldWhatItsFormerProcessAcknowledged` (virtual time, killed 0.4 s after the leave, told by a member of the other region) and `DepartureProcess.TheNextProcessAndOtherNodesAreBoundWhileTheStoreIsAway` (real processes, the store down). Before, nothing could tell the next process: no message had a place for it.

--- a/include/agatedoor/membership/fleet_table.hpp
+++ b/include/agatedoor/membership/fleet_table.hpp
@@ -17,6 +17,7 @@
     MemberStatus status = MemberStatus::Alive;
     Deadline statusDeadline{TimePoint::max()}; ///< When a suspect becomes dead, or a dead or left member is forgotten.
     Deadline heldUntil{TimePoint::min()}; ///< Until then a dead member stays routable as a last resort.
+    Departures departures{}; ///< What earlier processes of the member acknowledged.
 };
 
 /// @brief All members by node.
--- a/include/agatedoor/membership/fleet_view.hpp
+++ b/include/agatedoor/membership/fleet_view.hpp
@@ -30,6 +30,7 @@
 struct FleetView
 {
     std::unordered_map<ServiceName, std::vector<BackendEntry>> services;
+    std::unordered_map<BackendId, Departure> departures; ///< Acknowledged by any node, of this process of it or an earlier one.
     std::int64_t nodes = 1; ///< Nodes that take requests, this one included.
 };
 
--- a/include/agatedoor/membership/member.hpp
+++ b/include/agatedoor/membership/member.hpp
@@ -3,6 +3,7 @@
 #include "agatedoor/base/endpoint.hpp"
 #include "agatedoor/base/ids.hpp"
 #include "agatedoor/base/units.hpp"
+#include "agatedoor/membership/departures.hpp"
 
 #include <optional>
 #include <string>
@@ -26,6 +27,7 @@
     Slots slots{1};
     Connections connections{1};
     BackendStatus status = BackendStatus::Serving;
+    UnixTime born{}; ///< Start of its life; 0 when it isn't stated.
 
     friend bool operator==(const BackendRecord &, const BackendRecord &) = default;
 };
@@ -51,6 +53,7 @@
     Endpoint gossip; ///< Where the node exchanges fleet state.
     bool stopping = false; ///< The node takes no new work.
     std::vector<BackendRecord> backends;
+    std::vector<Departure> departures; ///< Backend servers that this node acknowledged to be leaving.
 
     friend bool operator==(const MemberRecord &, const MemberRecord &) = default;
 };
--- a/include/agatedoor/membership/membership.hpp
+++ b/include/agatedoor/membership/membership.hpp
@@ -63,6 +63,7 @@
     std::vector<Outgoing> messages;
     std::vector<Endpoint> distrusted; ///< Addresses whose open connection may lead nowhere; to be opened anew before sending.
     bool viewChanged = false; ///< The table changed in a way that requests can notice.
+    std::vector<Departure> departures; ///< Acknowledged by an earlier process of this node; they bind this one too.
     bool incarnationChanged = false; ///< This node had to take a greater incarnation; see Membership::self.
 };
 
--- a/include/agatedoor/membership/peer_message.hpp
+++ b/include/agatedoor/membership/peer_message.hpp
@@ -34,6 +34,7 @@
     std::vector<std::uint32_t> differing; ///< Buckets that a sync reply covers.
     bool more = false; ///< Buckets were left out for lack of room.
     std::vector<MemberUpdate> updates;
+    std::vector<Departure> departures; ///< Of a sync reply: what earlier processes of the receiver acknowledged.
     HeadRecord head; ///< Of a bundle reply.
     std::string text; ///< Of a bundle reply.
 };
--- /dev/null
+++ b/src/agatedoor/control/departure_log.cpp
@@ -0,0 +1,15 @@
+#include "departure_log.hpp"
+
+#include "agatedoor/wire/log.hpp"
+
+namespace agatedoor {
+
+void adoptDepartures(LocalBackendController &backends, const std::vector<Departure> &departures, TimePoint now)
+{
+    for (const auto &departure : backends.adopt(departures, now)) {
+        logLine(LogLevel::Info, "departure-adopted",
+                {{"backend", departure.backend.value}, {"step", std::string(wireName(departure.step))}, {"last_born", departure.lastBorn.value}});
+    }
+}
+
+} // namespace agatedoor
--- a/src/agatedoor/control/peer_sync.cpp
+++ b/src/agatedoor/control/peer_sync.cpp
@@ -2,6 +2,7 @@
 
 #include "agatedoor/wire/log.hpp"
 #include "bundle_log.hpp"
+#include "departure_log.hpp"
 
 #include <algorithm>
 
@@ -36,7 +37,7 @@
 /// Whether what this node says of itself is out of date; a backend server may go down without an announcement.
 bool differs(const MemberRecord &present, const MemberRecord &told)
 {
-    return present.backends != told.backends || present.stopping != told.stopping;
+    return present.backends != told.backends || present.stopping != told.stopping || present.departures != told.departures;
 }
 
 } // namespace
@@ -291,6 +292,9 @@
     for (auto &outgoing : output.messages) {
         m_transport->send(outgoing.to, std::move(outgoing.bytes));
     }
+    if (!output.departures.empty()) {
+        adoptDepartures(m_node.localBackends, output.departures, Clock::now());
+    }
     if (output.incarnationChanged) {
         m_node.incarnation = m_membership.self.incarnation;
     }
@@ -342,6 +346,7 @@
     for (const auto &[id, backend] : backends->backends) {
         record.backends.push_back(recordForFleet(backend));
     }
+    record.departures = m_node.localBackends.departures(Clock::now());
     return record;
 }
 
--- a/src/agatedoor/membership/fake_fleet.hpp
+++ b/src/agatedoor/membership/fake_fleet.hpp
@@ -15,6 +15,7 @@
     bool paused = false;
     std::uint64_t bytes = 0;
     std::uint64_t messages = 0;
+    std::vector<Departure> departures{}; ///< Told to it of its earlier processes.
 };
 
 class FakeFleet
@@ -32,11 +33,12 @@
     Duration delay = std::chrono::milliseconds(2);
     std::function<void(const MemberRecord &, const PeerMessage &)> observe = [](const auto &, const auto &) {};
 
-    void start(const std::string &name, const std::string &zone, const std::string &region, const std::string &service, const std::string &contact = {})
+    void start(const std::string &name, const std::string &zone, const std::string &region, const std::string &service, const std::string &contact = {},
+               std::optional<Incarnation> incarnation = {})
     {
         MemberRecord record;
         record.node = {name};
-        record.incarnation = {++m_incarnation};
+        record.incarnation = incarnation.value_or(Incarnation{++m_incarnation});
         record.zone = {zone};
         record.region = {region};
         record.gossip = addressOf(name);
@@ -169,6 +171,7 @@
 
     void take(FakeNode &from, const MembershipOutput &output)
     {
+        from.departures.insert(from.departures.end(), output.departures.begin(), output.departures.end());
         for (const auto &endpoint : output.distrusted) {
             m_connections.erase({from.membership.self.node.value, endpoint.address});
         }
--- a/src/agatedoor/membership/fleet_view.cpp
+++ b/src/agatedoor/membership/fleet_view.cpp
@@ -40,8 +40,10 @@
     return member.status == MemberStatus::Dead && !expired(member.heldUntil, now) && !member.record.stopping;
 }
 
-BackendEntry makeEntry(const MemberRecord &member, const BackendRecord &backend, const Place &here, const KnownBackends &known, TimePoint now)
+BackendEntry makeEntry(const MemberEntry &owner, const BackendRecord &backend, const Place &here, const KnownBackends &known, TimePoint now)
 {
+    const MemberRecord &member = owner.record;
+    const bool left = departureOf(owner.departures, backend.backend, backend.born, now).has_value();
     BackendEntry entry;
     entry.backend = backend.backend;
     entry.node = member.node;
@@ -50,7 +52,7 @@
     entry.locality = localityOf(here, member);
     entry.slots = backend.slots;
     entry.connections = backend.connections;
-    entry.draining = backend.status == BackendStatus::Draining;
+    entry.draining = left || backend.status == BackendStatus::Draining;
     const auto found = known.find(backend.backend);
     const bool carried = found != known.end() && found->second.incarnation == member.incarnation;
     entry.stats = carried ? found->second.stats : std::make_shared<BackendStats>();
@@ -58,10 +60,21 @@
     return entry;
 }
 
-void addEntries(FleetView &view, const MemberRecord &member, const Place &here, const KnownBackends &known, TimePoint now)
+void addEntries(FleetView &view, const MemberEntry &owner, const Place &here, const KnownBackends &known, TimePoint now)
 {
-    for (const auto &backend : member.backends) {
-        view.services[backend.service].push_back(makeEntry(member, backend, here, known, now));
+    for (const auto &backend : owner.record.backends) {
+        view.services[backend.service].push_back(makeEntry(owner, backend, here, known, now));
+    }
+}
+
+/// Of two departures of one backend server the one that says more is kept.
+void addDepartures(FleetView &view, const std::vector<Departure> &departures)
+{
+    for (const auto &departure : departures) {
+        const auto [known, added] = view.departures.try_emplace(departure.backend, departure);
+        if (!added && saysMore(departure, known->second)) {
+            known->second = departure;
+        }
     }
 }
 
@@ -93,11 +106,13 @@
     FleetView lost;
     std::int64_t nodes = 0;
     for (const auto &[node, member] : table.members) {
+        addDepartures(*view, member.record.departures);
+        addDepartures(*view, remembered(member.departures, now));
         if (routable(member)) {
             ++nodes;
-            addEntries(*view, member.record, here, known, now);
+            addEntries(*view, member, here, known, now);
         } else if (keepLost && held(member, now)) {
-            addEntries(lost, member.record, here, known, now);
+            addEntries(lost, member, here, known, now);
         }
     }
     addLost(*view, std::move(lost));
--- a/src/agatedoor/membership/local_backends.cpp
+++ b/src/agatedoor/membership/local_backends.cpp
@@ -71,6 +71,7 @@
 BackendRecord recordForFleet(const LocalBackend &backend)
 {
     BackendRecord record = backend.record;
+    record.born = backend.life.born;
     if (backend.gate->down.load()) {
         record.status = BackendStatus::Draining;
     }
--- a/src/agatedoor/membership/member.cpp
+++ b/src/agatedoor/membership/member.cpp
@@ -15,6 +15,7 @@
     message.set_slots(record.slots.value);
     message.set_connections(record.connections.value);
     message.set_draining(record.status == BackendStatus::Draining);
+    message.set_born(record.born.value);
 }
 
 BackendRecord decodeBackend(const messages::Backend &message)
@@ -25,6 +26,7 @@
     record.slots = {message.slots()};
     record.connections = {message.connections()};
     record.status = message.draining() ? BackendStatus::Draining : BackendStatus::Serving;
+    record.born = {message.born()};
     return record;
 }
 
@@ -41,6 +43,25 @@
     return {message.address(), static_cast<std::uint16_t>(message.port())};
 }
 
+void encodeDepartures(const std::vector<Departure> &departures, google::protobuf::RepeatedPtrField<messages::Departure> &list)
+{
+    for (const auto &departure : departures) {
+        messages::Departure &message = *list.Add();
+        message.set_backend(departure.backend.value);
+        message.set_gone(departure.step == DepartureStep::Gone);
+        message.set_last_born(departure.lastBorn.value);
+    }
+}
+
+std::vector<Departure> decodeDepartures(const google::protobuf::RepeatedPtrField<messages::Departure> &list)
+{
+    std::vector<Departure> departures;
+    for (const auto &message : list) {
+        departures.push_back({{message.backend()}, message.gone() ? DepartureStep::Gone : DepartureStep::Draining, {message.last_born()}});
+    }
+    return departures;
+}
+
 bool newer(const MemberRecord &a, const MemberRecord &b)
 {
     return std::tie(a.incarnation, a.version) > std::tie(b.incarnation, b.version);
@@ -79,6 +100,7 @@
     for (const auto &backend : record.backends) {
         encodeBackend(backend, *message.add_backends());
     }
+    encodeDepartures(record.departures, *message.mutable_departures());
 }
 
 std::string encodeMember(const MemberRecord &record)
@@ -105,6 +127,7 @@
     for (const auto &backend : message.backends()) {
         record.backends.push_back(decodeBackend(backend));
     }
+    record.departures = decodeDepartures(message.departures());
     return record;
 }
 
--- a/src/agatedoor/membership/member_codec.hpp
+++ b/src/agatedoor/membership/member_codec.hpp
@@ -8,6 +8,8 @@
 
 void encodeEndpoint(const Endpoint &endpoint, messages::Endpoint &message);
 Endpoint decodeEndpoint(const messages::Endpoint &message);
+void encodeDepartures(const std::vector<Departure> &departures, google::protobuf::RepeatedPtrField<messages::Departure> &list);
+std::vector<Departure> decodeDepartures(const google::protobuf::RepeatedPtrField<messages::Departure> &list);
 void encodeMember(const MemberRecord &record, messages::Member &message);
 /// @brief Record in @p message, or none when it names no node.
 std::optional<MemberRecord> decodeMember(const messages::Member &message);
--- a/src/agatedoor/membership/membership.cpp
+++ b/src/agatedoor/membership/membership.cpp
@@ -35,6 +35,16 @@
     }
 }
 
+/// A backend server whose departure is forgotten may take work again, if its node says so.
+void forgetDepartures(Membership &membership, TimePoint now, MembershipOutput &output)
+{
+    for (auto &[node, entry] : membership.table.members) {
+        const std::size_t before = entry.departures.byBackend.size();
+        forgetExpired(entry.departures, now);
+        output.viewChanged = output.viewChanged || entry.departures.byBackend.size() != before;
+    }
+}
+
 void gossip(Membership &membership, TimePoint now, Random &random, MembershipOutput &output)
 {
     const PeersByDistance peers = peersByDistance(membership);
@@ -120,6 +130,7 @@
     }
     settleProbes(membership, now, random, output);
     settleStatuses(membership, now, random, output);
+    forgetDepartures(membership, now, output);
     tryContact(membership, now, output);
     if (expired(membership.probeAt, now)) {
         membership.probeAt = jittered(now, options.probeInterval, random);
--- a/src/agatedoor/membership/membership_merge.cpp
+++ b/src/agatedoor/membership/membership_merge.cpp
@@ -60,6 +60,25 @@
     }
 }
 
+/// Departures that the former process of a member acknowledged outlast its record.
+void keepDepartures(MemberEntry &entry, const MemberRecord &next, TimePoint now)
+{
+    if (next.incarnation == entry.record.incarnation) {
+        return;
+    }
+    for (const auto &departure : entry.record.departures) {
+        remember(entry.departures, departure, now);
+    }
+}
+
+/// An earlier process of this node is bound by what it acknowledged, and so is this one.
+void takeDepartures(const Membership &membership, const MemberRecord &former, MembershipOutput &output)
+{
+    if (former.incarnation != membership.self.incarnation) {
+        output.departures.insert(output.departures.end(), former.departures.begin(), former.departures.end());
+    }
+}
+
 } // namespace
 
 void setStatus(Membership &membership, MemberEntry &entry, MemberStatus status, TimePoint now)
@@ -86,6 +105,7 @@
 bool absorb(Membership &membership, const MemberUpdate &update, TimePoint now, MembershipOutput &output)
 {
     if (update.record.node == membership.self.node) {
+        takeDepartures(membership, update.record, output);
         return refute(membership, update, output);
     }
     const auto found = membership.table.members.find(update.record.node);
@@ -105,6 +125,7 @@
     }
     MemberUpdate taken = update;
     if (known) {
+        keepDepartures(found->second, taken.record, now);
         keepBackends(taken, found->second);
         found->second.record = std::move(taken.record);
     }
--- a/src/agatedoor/membership/membership_sync.cpp
+++ b/src/agatedoor/membership/membership_sync.cpp
@@ -56,6 +56,13 @@
     }
 }
 
+/// What earlier processes of @p node acknowledged, as far as is remembered here.
+std::vector<Departure> departuresOf(const Membership &membership, const NodeId &node, TimePoint now)
+{
+    const auto found = membership.table.members.find(node);
+    return found == membership.table.members.end() ? std::vector<Departure>{} : remembered(found->second.departures, now);
+}
+
 } // namespace
 
 Deadline jittered(TimePoint now, Duration interval, Random &random)
@@ -113,6 +120,7 @@
     }
     const TableDigest digest = digestOf(membership.table);
     PeerMessage reply = makeMessage(membership, PeerMessageKind::SyncReply);
+    reply.departures = departuresOf(membership, request.from, now);
     const std::size_t start = uniformIndex(random, digestBuckets);
     std::size_t size = 0;
     for (std::size_t i = 0; i < digestBuckets; ++i) {
@@ -137,6 +145,7 @@
 void takeSyncReply(Membership &membership, const PeerMessage &reply, bool changed, TimePoint now, Random &random, MembershipOutput &output)
 {
     completeSync(membership, reply, output);
+    output.departures.insert(output.departures.end(), reply.departures.begin(), reply.departures.end());
     if (reply.more && changed) {
         requestSync(membership, reply.replyTo, reply.region, output);
         return;
--- a/src/agatedoor/membership/membership_test.cpp
+++ b/src/agatedoor/membership/membership_test.cpp
@@ -53,6 +53,16 @@
     return found == view->services.end() ? 0 : found->second.size();
 }
 
+/// Whether @p observer may send work to @p backend.
+bool servesAt(const FakeFleet &fleet, const std::string &observer, const std::string &backend)
+{
+    const Membership &membership = fleet.nodes.at(observer).membership;
+    const Place here{membership.self.node, membership.self.zone, membership.self.region};
+    const auto view = buildView(membership.table, here, {}, fleet.now);
+    const auto &entries = view->services.at({"orders"});
+    return std::any_of(entries.begin(), entries.end(), [&backend](const auto &entry) { return entry.backend.value == backend && !entry.draining; });
+}
+
 } // namespace
 
 TEST(Membership, JoinsChangesAndLeavesAreKnownEverywhere)
@@ -151,6 +161,55 @@
     });
 }
 
+TEST(Membership, ARestartedNodeIsToldWhatItsFormerProcessAcknowledged)
+{
+    FakeFleet fleet = settledFleet(4);
+    const Departure departure{{"north1-1-backend"}, DepartureStep::Gone, {1000}};
+    const auto acknowledge = [&] {
+        fleet.change("north1-1", [&](MemberRecord &self) {
+            self.backends.clear();
+            self.departures = {departure};
+        });
+        fleet.run(std::chrono::milliseconds(400));
+        fleet.nodes.at("north1-1").running = false;
+        fleet.run(std::chrono::milliseconds(600));
+    };
+    const auto announce = [&](std::int64_t born) {
+        fleet.change("north1-1", [&](MemberRecord &self) {
+            self.backends = {{{"north1-1-backend"}, {"orders"}, {12}, {260}, BackendStatus::Serving, {born}}};
+        });
+        fleet.run(seconds(2));
+    };
+    const auto told = [&] { return !fleet.nodes.at("north1-1").departures.empty(); };
+    section("by the first member that it asks", [&] {
+        acknowledge();
+        fleet.start("north1-1", "north1", "north", "orders", "south1-0");
+        EXPECT_TRUE(fleet.runUntil(told, joinBound));
+        EXPECT_EQ(fleet.nodes.at("north1-1").departures.front(), departure);
+    });
+    section("a life that left gets no work, whatever the new process says of it", [&] {
+        announce(1000);
+        for (const auto &[name, node] : fleet.nodes) {
+            EXPECT_EQ(name != "north1-1" && servesAt(fleet, name, "north1-1-backend"), false) << name;
+        }
+    });
+    section("a later one gets work", [&] {
+        announce(1001);
+        EXPECT_TRUE(servesAt(fleet, "south2-3", "north1-1-backend"));
+    });
+    section("after a while it is forgotten, without another change", [&] {
+        announce(1000);
+        EXPECT_FALSE(servesAt(fleet, "south2-3", "north1-1-backend"));
+        EXPECT_TRUE(fleet.runUntil([&] { return servesAt(fleet, "south2-3", "north1-1-backend"); }, DepartureOptions{}.memory));
+    });
+    section("a process whose clock went back is told by the record of the former one", [&] {
+        acknowledge();
+        fleet.start("north1-1", "north1", "north", "orders", "south1-0", Incarnation{1});
+        EXPECT_TRUE(fleet.runUntil(told, joinBound));
+        EXPECT_EQ(fleet.nodes.at("north1-1").departures.front(), departure);
+    });
+}
+
 TEST(Membership, CutsInOneDirectionAreBridged)
 {
     FakeFleet fleet = settledFleet(4);
--- a/src/agatedoor/membership/peer_message.cpp
+++ b/src/agatedoor/membership/peer_message.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr std::size_t memberOverhead = 48;
-constexpr std::size_t backendOverhead = 20;
+constexpr std::size_t backendOverhead = 28;
+constexpr std::size_t departureOverhead = 16;
 
 messages::Head headMessage(const HeadRecord &head)
 {
@@ -79,6 +80,7 @@
     for (const auto &update : message.updates) {
         encodeUpdate(update, *encoded.add_updates());
     }
+    encodeDepartures(message.departures, *encoded.mutable_departures());
     if (message.kind == PeerMessageKind::BundleReply) {
         *encoded.mutable_head() = headMessage(message.head);
         encoded.set_text(message.text);
@@ -113,6 +115,7 @@
         }
         message.updates.push_back(std::move(*update));
     }
+    message.departures = decodeDepartures(encoded.departures());
     const auto &head = encoded.head();
     message.head = {{head.generation()}, {head.digest()}, {head.operation()}, head.operator_name()};
     message.text = encoded.text();
@@ -127,6 +130,9 @@
     for (const auto &backend : record.backends) {
         size += backendOverhead + backend.backend.value.size() + backend.service.value.size();
     }
+    for (const auto &departure : record.departures) {
+        size += departureOverhead + departure.backend.value.size();
+    }
     return size;
 }
 
--- a/src/agatedoor/node/admin_api.cpp
+++ b/src/agatedoor/node/admin_api.cpp
@@ -87,6 +87,17 @@
     return services;
 }
 
+/// Last start of the lives that left, by backend server.
+json::object dumpDepartures(const NodeState &node)
+{
+    json::object departures;
+    const auto fleet = node.fleet.current();
+    for (const auto &[backend, departure] : fleet->departures) {
+        departures[backend.value] = {{"step", wireName(departure.step)}, {"last_born_ms", departure.lastBorn.value}};
+    }
+    return departures;
+}
+
 json::object dumpPathDelays(const NodeState &node)
 {
     json::object delays;
@@ -153,19 +164,13 @@
 HttpReply dump(const NodeState &node, const std::vector<std::unique_ptr<Worker>> &workers, const FleetReport &report)
 {
     const json::object state{
-        {"node", node.settings.node.value},
-        {"zone", node.settings.zone.value},
-        {"region", node.settings.region.value},
-        {"incarnation", node.incarnation.value.load()},
-        {"stopping", node.stopping.load()},
-        {"in_flight", node.inFlight.load()},
-        {"body_bytes", node.bodyBytes.load()},
-        {"bundle", dumpBundle(node)},
-        {"local_backends", dumpLocal(node)},
-        {"services", dumpFleet(node)},
-        {"workers", dumpWorkers(workers)},
-        {"path_delay_us", dumpPathDelays(node)},
-        {"fleet", dumpFigures(report(), node.bundles.current()->head.generation.value > 0)},
+        {"node", node.settings.node.value},     {"zone", node.settings.zone.value},
+        {"region", node.settings.region.value}, {"incarnation", node.incarnation.value.load()},
+        {"stopping", node.stopping.load()},     {"in_flight", node.inFlight.load()},
+        {"body_bytes", node.bodyBytes.load()},  {"bundle", dumpBundle(node)},
+        {"local_backends", dumpLocal(node)},    {"services", dumpFleet(node)},
+        {"workers", dumpWorkers(workers)},      {"path_delay_us", dumpPathDelays(node)},
+        {"departures", dumpDepartures(node)},   {"fleet", dumpFigures(report(), node.bundles.current()->head.generation.value > 0)},
     };
     return jsonReply(200, json::serialize(state));
 }
--- a/src/agatedoor/node/backend_api.cpp
+++ b/src/agatedoor/node/backend_api.cpp
@@ -1,5 +1,6 @@
 #include "backend_api.hpp"
 
+#include "agatedoor/control/departure_log.hpp"
 #include "agatedoor/wire/log.hpp"
 
 #include <boost/json.hpp>
@@ -107,6 +108,16 @@
     return errorReply(400, why);
 }
 
+/// An announcement may reach a node that doesn't know what another one, or an earlier process of its own, acknowledged.
+void heedFleet(NodeState &node, const BackendId &backend, TimePoint now)
+{
+    const auto fleet = node.fleet.current();
+    const auto departure = fleet->departures.find(backend);
+    if (departure != fleet->departures.end()) {
+        adoptDepartures(node.localBackends, {departure->second}, now);
+    }
+}
+
 HttpReply announce(NodeState &node, const BackendId &backend, const std::string &body)
 {
     const auto announcement = parseAnnouncement(node, backend, body);
@@ -121,6 +132,7 @@
     const auto before = known->backends.find(backend);
     const bool news = before == known->backends.end() || before->second.record != announcement->record || before->second.life.born != announcement->life.born;
     const Moment now = readClocks();
+    heedFleet(node, backend, now.at);
     const auto result = node.localBackends.announce(*announcement, now);
     if (news || !result) {
         logLine(LogLevel::Info, "announce",
--- a/tests/process/departure_test.cpp
+++ b/tests/process/departure_test.cpp
@@ -3,12 +3,16 @@
 
 #include <chrono>
 
-/// @brief Backend servers that leave, told by real processes.
+/// @brief Backend servers that leave, told by real processes of a node that restarts, with the store away.
 namespace agatedoor::test {
 
 namespace {
 
 namespace json = boost::json;
+using std::chrono::seconds;
+
+constexpr seconds spreadBound{3};
+constexpr seconds joinBound{5};
 
 std::int64_t unixMilliseconds()
 {
@@ -52,6 +56,12 @@
         const HttpReply reply = ask(deployment.backendsOf(node), {"GET", "/v1/backends/" + backend, {}, {}});
         return reply.status == 200 ? std::string(json::parse(reply.body).as_object().at("status").as_string()) : std::string();
     }
+
+    bool departureSeen(const std::string &node, const std::string &backend) const
+    {
+        const json::object dump = deployment.dump(node);
+        return dump.contains("departures") && dump.at("departures").as_object().contains(backend);
+    }
 };
 
 } // namespace
@@ -76,4 +86,34 @@
     });
 }
 
+TEST(DepartureProcess, TheNextProcessAndOtherNodesAreBoundWhileTheStoreIsAway)
+{
+    ThreeNodes fleet;
+    Deployment &deployment = fleet.deployment;
+    const std::int64_t born = unixMilliseconds() - 20'000;
+    section("a backend server is withdrawn, and the fleet knows", [&] {
+        ASSERT_EQ(fleet.announce("n1", "b1", born, 14), 200);
+        ASSERT_EQ(fleet.withdraw("n1", "b1"), 200);
+        ASSERT_TRUE(eventually([&] { return fleet.departureSeen("n2", "b1") && fleet.departureSeen("n3", "b1"); }, spreadBound));
+    });
+    section("its announcement comes late to another node", [&] {
+        EXPECT_EQ(fleet.announce("n3", "b1", born, 13), 200);
+        EXPECT_EQ(fleet.statusAt("n3", "b1"), "");
+    });
+    section("the node is killed and starts again while the store is away", [&] {
+        deployment.storeFaults(R"({"down":true})");
+        deployment.kill("n1");
+        deployment.startNode({"n1", "north0", "north"});
+        EXPECT_TRUE(eventually([&] { return fleet.departureSeen("n1", "b1"); }, joinBound));
+    });
+    section("its next process refuses the late announcement", [&] {
+        EXPECT_EQ(fleet.announce("n1", "b1", born, 13), 200);
+        EXPECT_EQ(fleet.statusAt("n1", "b1"), "");
+    });
+    section("and takes a later life", [&] {
+        EXPECT_EQ(fleet.announce("n1", "b1", unixMilliseconds(), 1), 200);
+        EXPECT_EQ(fleet.statusAt("n1", "b1"), "serving");
+    });
+}
+
 } // namespace agatedoor::test
