Let a new life under a known id start with counters of its own

Callers could see: a backend server that starts again under its id, beside a node that runs on, is judged by its former life: ejected or thought slow, and without its warm-up though it is cold.

Cause: other nodes carried the counters over as long as the owning node's incarnation stayed; the record didn't tell lives apart. Ruled out: the owning node, which opens a new gate for each life.

Change: the view compares the start of the life, which records now carry.

--- a/include/agatedoor/membership/fleet_view.hpp
+++ b/include/agatedoor/membership/fleet_view.hpp
@@ -17,6 +17,7 @@
     BackendId backend;
     NodeId node;
     Incarnation incarnation; ///< Of the owning node.
+    UnixTime born; ///< Start of the backend server's life; 0 when it isn't stated.
     Endpoint peers; ///< The owning node's address for requests.
     Locality locality = Locality::SameZone;
     Slots slots{1};
@@ -45,7 +46,8 @@
 /// @brief Distance from @p here to a member.
 Locality localityOf(const Place &here, const MemberRecord &member);
 
-/// @brief Builds the view of @p table; counters of backend servers that stay, in the same life of their node, are carried over from @p previous.
+/// @brief Builds the view of @p table; counters of backend servers that stay, in the same life of theirs and of their node, are
+/// carried over from @p previous.
 /// @param keepLost too many members were lost at once to be believed: a service that would lose more than half of its
 ///        backend servers keeps the lost ones
 std::shared_ptr<const FleetView> buildView(const FleetTable &table, const Place &here, const FleetView &previous, TimePoint now, bool keepLost = false);
--- a/src/agatedoor/membership/fleet_view.cpp
+++ b/src/agatedoor/membership/fleet_view.cpp
@@ -15,6 +15,7 @@
     std::shared_ptr<BackendStats> stats;
     TimePoint joinedAt;
     Incarnation incarnation;
+    UnixTime born;
 };
 
 using KnownBackends = std::unordered_map<BackendId, Known>;
@@ -24,7 +25,7 @@
     KnownBackends known;
     for (const auto &[service, entries] : view.services) {
         for (const auto &entry : entries) {
-            known[entry.backend] = {entry.stats, entry.joinedAt, entry.incarnation};
+            known[entry.backend] = {entry.stats, entry.joinedAt, entry.incarnation, entry.born};
         }
     }
     return known;
@@ -48,13 +49,14 @@
     entry.backend = backend.backend;
     entry.node = member.node;
     entry.incarnation = member.incarnation;
+    entry.born = backend.born;
     entry.peers = member.peers;
     entry.locality = localityOf(here, member);
     entry.slots = backend.slots;
     entry.connections = backend.connections;
     entry.draining = left || backend.status == BackendStatus::Draining;
     const auto found = known.find(backend.backend);
-    const bool carried = found != known.end() && found->second.incarnation == member.incarnation;
+    const bool carried = found != known.end() && found->second.incarnation == member.incarnation && found->second.born == backend.born;
     entry.stats = carried ? found->second.stats : std::make_shared<BackendStats>();
     entry.joinedAt = carried ? found->second.joinedAt : now;
     return entry;
