Let a stopping node pass on only what it can finish

Cause: after callers had noticed the stop (2.5 s) the node waits for a moment without requests before it refuses new ones. With slow requests in progress there is none, so it took what came over connections that were open and idle until the last moment. Callers keep coming while fewer than half of a zone's nodes are ready, as beside many restarts. Ruled out: new connections (the acceptor was closed), requests of other nodes (refused from 2 s on), the close after each answer (these connections had carried none since the signal).

Change: once the acceptor is closed, a request whose deadline lies beyond the end of the stop is refused as not run. What is taken after that has its deadline before the end, so nothing of it can be cut. Refusing everything at that moment was weighed: short requests that can still be answered would be turned away for nothing.

--- a/src/agatedoor/control/node_state.hpp
+++ b/src/agatedoor/control/node_state.hpp
@@ -45,6 +45,7 @@
     std::atomic<bool> stopping{false}; ///< Callers are asked to go elsewhere.
     std::atomic<bool> leaving{false}; ///< The fleet is told, and other nodes' requests are refused.
     std::atomic<bool> closing{false}; ///< Callers' requests are refused too. Read after a request is counted as in progress.
+    std::atomic<TimePoint> finishBy{TimePoint::max()}; ///< End of a stop that callers were told of; what may last longer is refused.
     std::atomic<std::int64_t> inFlight{0}; ///< Requests in progress on this node, of callers and of other nodes.
     std::atomic<std::int64_t> bodyBytes{0}; ///< Memory reserved for request bodies.
 };
--- a/src/agatedoor/node/node.cpp
+++ b/src/agatedoor/node/node.cpp
@@ -148,6 +148,7 @@
     peers.wake();
     co_await waitUntil(control, plan.acceptUntil);
     callers.close(error);
+    node.finishBy.store(plan.latest.at);
     co_await waitUntilQuiet(control, node, plan.latest);
     node.closing.store(true);
     while (node.inFlight.load() > 0 && !expired(plan.latest, Clock::now())) {
--- a/src/agatedoor/proxy/filter.cpp
+++ b/src/agatedoor/proxy/filter.cpp
@@ -109,6 +109,15 @@
     co_return FilterVerdict::Continue;
 }
 
+/// A stopping node passes nothing on that it might have to cut: callers may use open connections until its end.
+asio::awaitable<FilterVerdict> refuseWhatOutlastsStop(RequestContext &context)
+{
+    if (context.deadline.at > context.worker.node.finishBy.load()) {
+        co_return answer(context, Reason::Stopping);
+    }
+    co_return FilterVerdict::Continue;
+}
+
 asio::awaitable<FilterVerdict> forwardToBackend(RequestContext &context)
 {
     co_await forward(context);
@@ -124,6 +133,7 @@
     Filter{"take-body", takeBody},
     Filter{"attest", attest},
     Filter{"set-deadline", setDeadline},
+    Filter{"refuse-what-outlasts-stop", refuseWhatOutlastsStop},
     Filter{"forward", forwardToBackend},
 };
 
--- a/tests/process/stop_test.cpp
+++ b/tests/process/stop_test.cpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <csignal>
+#include <future>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -99,4 +100,39 @@
     });
 }
 
+TEST(Stop, TakesNothingThatMayOutlastIt)
+{
+    Deployment deployment;
+    deployment.startStore();
+    deployment.startNode({.name = "node1", .zone = "sv-uppsala", .region = "svealand", .stopLimitS = 6});
+    deployment.startNode({"node2", "sv-uppsala", "svealand"});
+    deployment.rollOut("examples/deployments/statens_takstolsverk.toml");
+    deployment.startBackend({"drawings", "node2", "ritarkiv"});
+    deployment.startBackend({"inspections", "node2", "besiktning", 4, 64, 4'500'000});
+    deployment.waitUntilReady(2);
+    const Endpoint callers = deployment.callers("node1");
+    const RawConnection first(callers);
+    const RawConnection second(callers);
+    const std::string longRequest = "POST /besiktning HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nAgatedoor-Request-Id: ";
+    auto holding = std::async(std::launch::async, [&] { return ask(callers, {"POST", "/besiktning", {}, {}}); });
+    ASSERT_TRUE(eventually([&] { return !deployment.runs("inspections").empty(); }));
+    deployment.node("node1").signal(SIGTERM);
+    ASSERT_TRUE(eventually([&] { return ask(callers, {"GET", "/ritarkiv", {}, {}}).status == 0; }, std::chrono::seconds(5)));
+    section("a request that may take longer than the rest of the stop is refused as not run, over an open connection too", [&] {
+        first.send(longRequest + "late\r\n\r\n");
+        const std::string answer = first.receive("}");
+        EXPECT_NE(answer.find("Agatedoor-Reason: stopping"), std::string::npos) << answer;
+        EXPECT_NE(answer.find("Agatedoor-Outcome: not-run"), std::string::npos) << answer;
+    });
+    section("a short one is still answered", [&] {
+        second.send("GET /ritarkiv HTTP/1.1\r\nHost: a\r\nAgatedoor-Timeout-Us: 500000\r\n\r\n");
+        EXPECT_EQ(second.receive("}").find("HTTP/1.1 200"), 0U);
+    });
+    section("so is the one in progress, and what was refused didn't run", [&] {
+        EXPECT_EQ(holding.get().status, 200);
+        EXPECT_EQ(deployment.node("node1").waitForExit(std::chrono::seconds(10)), 0);
+        EXPECT_FALSE(deployment.runs("inspections").contains("late"));
+    });
+}
+
 } // namespace agatedoor::test
--- a/tests/support/deployment.hpp
+++ b/tests/support/deployment.hpp
@@ -22,6 +22,7 @@
     std::string region;
     bool relayed = false; ///< A relay stands in front of the address where other nodes hand over requests.
     std::vector<std::string> seeds = {}; ///< Started nodes to join by without the store.
+    int stopLimitS = 30; ///< Longest time of a stop.
     std::string store = {}; ///< Address of the store when something stands before it, IP:PORT.
 };
 
