Forget the departures of a member that is gone after 30 s as well

Backend servers could see: one that states no start and moves to another node is refused for up to six hours, when the node that acknowledged its leave died soon after.

Cause: the record of a lost member is kept for six hours, and with it its departures; only a living node drops them from its record after 30 s.

Change: when a member is lost or leaves, its departures get the end that those of a former process have; the view takes the record's own only while the member is present.

Evidence: `Membership.DeparturesOfAMemberThatIsGoneAreForgotten` failed before (still remembered after 31 s) and passes.

--- a/src/agatedoor/membership/fleet_view.cpp
+++ b/src/agatedoor/membership/fleet_view.cpp
@@ -108,7 +108,9 @@
     FleetView lost;
     std::int64_t nodes = 0;
     for (const auto &[node, member] : table.members) {
-        addDepartures(*view, member.record.departures);
+        if (present(member.status)) {
+            addDepartures(*view, member.record.departures);
+        }
         addDepartures(*view, remembered(member.departures, now));
         if (routable(member)) {
             ++nodes;
--- a/src/agatedoor/membership/membership_merge.cpp
+++ b/src/agatedoor/membership/membership_merge.cpp
@@ -60,12 +60,9 @@
     }
 }
 
-/// Departures that the former process of a member acknowledged outlast its record.
-void keepDepartures(MemberEntry &entry, const MemberRecord &next, TimePoint now)
+/// Departures that a process of a member acknowledged outlast it.
+void keepDepartures(MemberEntry &entry, TimePoint now)
 {
-    if (next.incarnation == entry.record.incarnation) {
-        return;
-    }
     for (const auto &departure : entry.record.departures) {
         remember(entry.departures, departure, now);
     }
@@ -83,6 +80,9 @@
 
 void setStatus(Membership &membership, MemberEntry &entry, MemberStatus status, TimePoint now)
 {
+    if (!present(status) && present(entry.status)) {
+        keepDepartures(entry, now);
+    }
     if (status == MemberStatus::Dead && present(entry.status)) {
         entry.heldUntil = deadlineAfter(now, membership.options.lossWindow);
     }
@@ -125,7 +125,9 @@
     }
     MemberUpdate taken = update;
     if (known) {
-        keepDepartures(found->second, taken.record, now);
+        if (present(found->second.status) && taken.record.incarnation != found->second.record.incarnation) {
+            keepDepartures(found->second, now);
+        }
         keepBackends(taken, found->second);
         found->second.record = std::move(taken.record);
     }
--- a/src/agatedoor/membership/membership_test.cpp
+++ b/src/agatedoor/membership/membership_test.cpp
@@ -210,6 +210,27 @@
     });
 }
 
+TEST(Membership, DeparturesOfAMemberThatIsGoneAreForgotten)
+{
+    FakeFleet fleet = settledFleet(4);
+    const auto remembers = [&] {
+        const Membership &membership = fleet.nodes.at("south2-3").membership;
+        const Place here{membership.self.node, membership.self.zone, membership.self.region};
+        return buildView(membership.table, here, {}, fleet.now)->departures.contains({"north1-1-backend"});
+    };
+    fleet.change("north1-1", [](MemberRecord &self) { self.departures = {{{"north1-1-backend"}, DepartureStep::Gone, {1000}}}; });
+    ASSERT_TRUE(fleet.runUntil(remembers, drainBound));
+    section("not at once when it dies, as its next process may start", [&] {
+        fleet.nodes.at("north1-1").running = false;
+        ASSERT_TRUE(fleet.runUntil([&] { return fleet.all("north1-1", MemberStatus::Dead); }, deathBound));
+        EXPECT_TRUE(remembers());
+    });
+    section("but long before its record is", [&] {
+        EXPECT_TRUE(fleet.runUntil([&] { return !remembers(); }, DepartureOptions{}.memory + seconds(1)));
+        EXPECT_EQ(fleet.statusAt("south2-3", "north1-1"), MemberStatus::Dead);
+    });
+}
+
 TEST(Membership, CutsInOneDirectionAreBridged)
 {
     FakeFleet fleet = settledFleet(4);
