--- a/tests/process/hedge_test.cpp
+++ b/tests/process/hedge_test.cpp
@@ -169,7 +169,8 @@
         }));
         relayAll(R"({"mode":"silence"})");
         const auto result = calls.get();
-        EXPECT_EQ(outcome(result, "answered"), count) << json::serialize(result) << "\n" << deployment.node("ingress").output();
+        EXPECT_EQ(outcome(result, "answered"), count) << json::serialize(result) << " over budget: " << workerSum("retries_over_budget") << "\n"
+                                                      << deployment.node("ingress").output();
         constexpr double boundMs = 2000.0 / 4 + 150;
         EXPECT_LE(result.at("p99_ms").to_number<double>(), boundMs);
     });
