--- a/src/agatedoor/membership/membership_property_test.cpp
+++ b/src/agatedoor/membership/membership_property_test.cpp
@@ -89,15 +89,25 @@
     }
 }
 
+/// First node that runs besides @p node; empty when there is none.
+std::string anotherThatRuns(const FakeFleet &fleet, const std::string &node)
+{
+    for (const auto &[name, other] : fleet.nodes) {
+        if (other.running && name != node) {
+            return name;
+        }
+    }
+    return {};
+}
+
 /// What the store does for a node that knows nobody: it names one that runs. A node that left is sought by no other, so when
 /// the only contact of its next process has died, the protocol alone can't bring it back.
 void nameContactsToLonely(FakeFleet &fleet)
 {
     for (auto &[name, node] : fleet.nodes) {
-        const bool lonely = node.running && presentMembers(node.membership).size() == 1;
-        const auto other = std::find_if(fleet.nodes.begin(), fleet.nodes.end(), [&](const auto &entry) { return entry.second.running && entry.first != name; });
-        if (lonely && other != fleet.nodes.end()) {
-            addContacts(node.membership, {FakeFleet::addressOf(other->first)});
+        const std::string contact = anotherThatRuns(fleet, name);
+        if (node.running && !contact.empty() && presentMembers(node.membership).size() == 1) {
+            addContacts(node.membership, {FakeFleet::addressOf(contact)});
         }
     }
 }
