Serve requests that callers send ahead side by side

Cause: serveCaller read a request only when the response before it was written, so a quick lookup waited for a slow one, and its arrival was counted late. A caller that left was not noticed either while it had sent more: the watch for a close ended at the first byte behind the request.

Change: a connection's requests stand in a Pipeline (decide/pipelining, no network). Idempotent requests without a body run side by side, each with its own arrival, deadline, cancellation, log line and metrics; responses leave in the order of the requests. Any other request starts when all earlier responses are written and nothing behind it is read before its own is. Nothing is read behind a response that closes the connection. Limits on requests and held bytes, of a connection and of the node, stop the reading; they refuse nothing. While the node stops, only the last response closes. The watch takes the bytes that arrive, so that it sees a close behind them. An error that leaves the coroutine of a connection is logged and ends that connection; before, it ended the process.

Ruled out: pipes that parse raw bytes ahead of the parser (a second reader of the same buffer), and classification by method (what is idempotent follows from the route of the bundle in force).

Why it works: a request's time no longer contains that of the one before it.

--- a/include/agatedoor/wire/log.hpp
+++ b/include/agatedoor/wire/log.hpp
@@ -3,6 +3,8 @@
 #include "agatedoor/state/settings.hpp"
 
 #include <cstdint>
+#include <exception>
+#include <functional>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -34,4 +36,12 @@
 ///   logLine(LogLevel::Info, "bundle-in-force", {{"generation", std::int64_t{7}}});
 void logLine(LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
 
+/// @brief Writes a line on an unexpected error.
+void logFailure(std::string_view event, const std::exception_ptr &failure);
+
+/// @brief Completion handler of a coroutine that nothing waits for: an error that leaves it is logged, where it would otherwise
+/// end the process.
+/// @param event name of the line; must outlive the coroutine
+std::function<void(std::exception_ptr)> logFailures(std::string_view event);
+
 } // namespace agatedoor
--- a/src/agatedoor/node/admin_api.cpp
+++ b/src/agatedoor/node/admin_api.cpp
@@ -154,6 +154,7 @@
                 {"retries_over_budget", target.metrics.retriesOverBudget},
                 {"retry_tokens", dumpRetryTokens(target)},
                 {"silent_connections", target.metrics.silentConnections},
+                {"pipelined_requests", target.metrics.pipelinedRequests},
                 {"tails_us", dumpTailLatencies(target)},
             };
         }));
--- a/src/agatedoor/node/node.cpp
+++ b/src/agatedoor/node/node.cpp
@@ -64,7 +64,7 @@
         tcp::socket socket(worker.context);
         co_await acceptor.async_accept(socket, into(error));
         if (!error) {
-            asio::co_spawn(worker.context, serve(worker, std::move(socket)), asio::detached);
+            asio::co_spawn(worker.context, serve(worker, std::move(socket)), logFailures("connection-failed"));
             continue;
         }
         asio::steady_timer pause(co_await asio::this_coro::executor, acceptRetryDelay);
--- a/src/agatedoor/proxy/backend_call.cpp
+++ b/src/agatedoor/proxy/backend_call.cpp
@@ -6,7 +6,6 @@
 #include "outgoing_request.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
@@ -204,7 +203,7 @@
                      {"reused_connection", backend.connection->reused},
                      {"outcome", std::string(wireName(result.outcome))}});
         const auto executor = co_await asio::this_coro::executor;
-        asio::co_spawn(executor, closeAbandoned(std::move(backend.connection), admitted.slot), asio::detached);
+        asio::co_spawn(executor, closeAbandoned(std::move(backend.connection), admitted.slot), logFailures("close-failed"));
         co_return result;
     }
     recordAnswer(worker, admitted, std::move(backend.connection), result, started);
--- a/src/agatedoor/proxy/caller_server.cpp
+++ b/src/agatedoor/proxy/caller_server.cpp
@@ -1,15 +1,13 @@
 #include "caller_server.hpp"
 
 #include "agatedoor/wire/log.hpp"
-#include "agatedoor/wire/peer_watch.hpp"
-#include "body_reservation.hpp"
-#include "caller_answer.hpp"
+#include "caller_session.hpp"
 #include "filter.hpp"
 #include "headers.hpp"
-#include "in_flight.hpp"
+
+#include <boost/asio/co_spawn.hpp>
 
 #include <array>
-#include <optional>
 
 namespace agatedoor {
 
@@ -17,20 +15,12 @@
 
 constexpr std::uint32_t maxHeaderBytes = 16 * 1024;
 constexpr std::uint64_t lingerBytes = 256ULL * 1024; ///< Most that is read and discarded before a connection closes.
-constexpr std::chrono::seconds idleTimeout{60};
 constexpr std::chrono::seconds bodyTimeout{60};
-constexpr std::chrono::seconds writeTimeout{30};
 constexpr std::chrono::milliseconds lingerTimeout{500};
+constexpr PipelineOptions pipelineOptions{};
 
 using Parser = http::request_parser<http::string_body>;
-
-/// Connection of one caller.
-struct Session
-{
-    Worker &worker;
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer;
-};
+using SessionPtr = std::shared_ptr<CallerSession>;
 
 Reason malformedReason(const error_code &error)
 {
@@ -43,7 +33,8 @@
 /// True when the connection closed or timed out, as opposed to a malformed request.
 bool connectionEnded(const error_code &error)
 {
-    return error == http::error::end_of_stream || error == beast::error::timeout || error.category() == asio::error::get_system_category();
+    return error == http::error::end_of_stream || error == http::error::partial_message || error == beast::error::timeout
+        || error.category() == asio::error::get_system_category();
 }
 
 asio::awaitable<bool> sendContinueIfExpected(beast::tcp_stream &stream, const Parser &parser)
@@ -66,26 +57,25 @@
 }
 
 /// Reads the body, up to the route's size limit and within the node's memory limit. Reason::None on success.
-asio::awaitable<Reason> readBody(Session &session, Parser &parser, RequestContext &context, std::optional<BodyReservation> &reservation)
+asio::awaitable<Reason> readBody(CallerSession &session, Parser &parser, CallerExchange &exchange)
 {
+    RequestContext &context = exchange.context;
     const std::int64_t limit = context.route->bodyLimit.value;
-    const std::int64_t reservedSize = parser.is_done() ? 0 : bodySizeBound(parser, limit);
+    const std::int64_t reservedSize = bodySizeBound(parser, limit);
     if (reservedSize > limit) {
         co_return Reason::BodyTooLarge;
     }
-    reservation.emplace(context.worker.node, reservedSize);
-    if (!reservation->granted()) {
+    exchange.reservation.emplace(context.worker.node, reservedSize);
+    if (!exchange.reservation->granted()) {
         co_return Reason::MemoryLimit;
     }
     parser.body_limit(static_cast<std::uint64_t>(limit));
     session.stream.expires_after(bodyTimeout);
-    if (!parser.is_done() && !co_await sendContinueIfExpected(session.stream, parser)) {
+    if (!co_await sendContinueIfExpected(session.stream, parser)) {
         co_return Reason::CallerGone;
     }
     error_code error;
-    if (!parser.is_done()) {
-        co_await http::async_read(session.stream, session.buffer, parser, into(error));
-    }
+    co_await http::async_read(session.stream, session.buffer, parser, into(error));
     if (error == beast::error::timeout) {
         co_return Reason::BodyTimeout;
     }
@@ -93,14 +83,27 @@
         co_return connectionEnded(error) ? Reason::CallerGone : malformedReason(error);
     }
     context.bodyRead = true;
-    context.bodyReadAt = Clock::now();
     context.request = parser.release();
     co_return Reason::None;
 }
 
+/// Takes the header of a request with a body, or the whole request.
+void takeRequest(CallerExchange &exchange, Parser &parser)
+{
+    RequestContext &context = exchange.context;
+    exchange.keepAliveRequested = parser.keep_alive();
+    context.bodyRead = parser.is_done();
+    if (context.bodyRead) {
+        context.request = parser.release();
+        context.readBody = []() -> asio::awaitable<Reason> { co_return Reason::None; };
+    } else {
+        context.request.base() = parser.get().base();
+    }
+}
+
 /// Lingering close: stops sending and discards input for a bounded time, so that a caller that is still sending gets the
 /// response instead of a connection reset.
-asio::awaitable<void> linger(Session &session)
+asio::awaitable<void> linger(CallerSession &session)
 {
     error_code error;
     session.stream.socket().shutdown(tcp::socket::shutdown_send, error);
@@ -112,109 +115,138 @@
     }
 }
 
-/// Writes the response; true when the connection can carry another request.
-asio::awaitable<bool> writeAnswer(Session &session, RequestContext &context, bool keepAlive)
+/// Answers a request that can't be parsed.
+asio::awaitable<void> refuseMalformed(CallerSession &session, Reason reason)
+{
+    CallerExchange &exchange = addExchange(session);
+    exchange.context.id = {randomHex(session.worker.random)};
+    exchange.context.result = notRun(reason);
+    co_await finishExchange(session, exchange);
+}
+
+/// Reads the next header; false when there is none, and nothing more can be read from the connection.
+asio::awaitable<bool> readHeader(CallerSession &session, Parser &parser)
 {
     error_code error;
-    StringResponse response = callerAnswer(context);
-    response.keep_alive(keepAlive);
-    session.stream.expires_after(writeTimeout);
-    co_await http::async_write(session.stream, response, into(error));
-    co_return !error && keepAlive;
+    parser.header_limit(maxHeaderBytes);
+    parser.body_limit(boost::none);
+    session.stream.expires_never();
+    co_await http::async_read_header(session.stream, session.buffer, parser, into(error));
+    if (session.closing) {
+        co_return false;
+    }
+    if (!error) {
+        co_return true;
+    }
+    if (connectionEnded(error)) {
+        cancelExchanges(session);
+    } else {
+        co_await refuseMalformed(session, malformedReason(error));
+    }
+    co_return false;
 }
 
-/// Time from arrival of the header to the end of the body; 0 when the body was not read.
-std::chrono::microseconds uploadTime(const RequestContext &context)
+bool needsToRunAlone(const RequestContext &context)
 {
-    return context.bodyReadAt == TimePoint{} ? std::chrono::microseconds(0) : inMicroseconds(context.bodyReadAt - context.arrivedAt);
+    PipelinedRequest request;
+    request.idempotent = context.route->idempotent;
+    request.hasBody = !context.bodyRead;
+    request.leavesHttp = context.request.method() == http::verb::connect || context.request.find(http::field::upgrade) != context.request.end();
+    return runsAlone(request);
 }
 
-void logRequest(const RequestContext &context)
+/// Runs the request and writes the responses whose turn has come then.
+asio::awaitable<void> serveBesideOthers(SessionPtr session, CallerExchange &exchange)
 {
-    const auto method = context.request.method_string();
-    const auto target = context.request.target();
-    const std::int64_t generation = context.bundle ? static_cast<std::int64_t>(context.bundle->head.generation.value) : 0;
-    logLine(LogLevel::Info, "request",
-            {
-                {"request_id", context.id.value},
-                {"method", std::string(method)},
-                {"target", std::string(target)},
-                {"bundle", generation},
-                {"peer", context.servedBy.value},
-                {"outcome", std::string(wireName(context.result.outcome))},
-                {"reason", std::string(wireName(context.result.reason))},
-                {"attempts", static_cast<std::int64_t>(context.attempts)},
-                {"body_bytes", static_cast<std::int64_t>(context.request.body().size())},
-                {"body_us", uploadTime(context).count()},
-                {"took_us", static_cast<std::int64_t>(inMicroseconds(Clock::now() - context.arrivedAt).count())},
-            });
+    co_await runFilters(servingFilters(), exchange.context);
+    co_await finishExchange(*session, exchange);
 }
 
-void recordMetrics(RequestContext &context)
+void startBesideOthers(const SessionPtr &session, CallerExchange &exchange)
 {
-    Metrics &metrics = context.worker.metrics;
-    metrics.requestTime(std::chrono::duration<double>(Clock::now() - context.arrivedAt).count());
-    ++metrics.outcomes.at(static_cast<std::size_t>(context.result.outcome));
+    ++session->running;
+    auto finished = [session](const std::exception_ptr &failure) {
+        --session->running;
+        if (failure) {
+            failSession(*session, failure);
+        }
+        session->changed.cancel();
+    };
+    asio::co_spawn(session->worker.context, serveBesideOthers(session, exchange), std::move(finished));
 }
 
-asio::awaitable<void> refuseMalformed(Session &session, Reason reason)
+/// Waits until all earlier responses are written, and routes the request anew if that took time, since another bundle may be
+/// in force then.
+asio::awaitable<FilterVerdict> waitForTurn(CallerSession &session, CallerExchange &exchange)
 {
-    RequestContext context(session.worker);
-    context.arrivedAt = Clock::now();
-    context.id = {randomHex(session.worker.random)};
-    context.result = notRun(reason);
-    co_await writeAnswer(session, context, false);
-    recordMetrics(context);
-    logRequest(context);
-    co_await linger(session);
+    if (session.pipeline.hasOne()) {
+        co_return FilterVerdict::Continue;
+    }
+    co_await waitUntil(session, [&session] { return ended(session) || session.pipeline.hasOne(); });
+    if (ended(session)) {
+        exchange.context.result = notRun(Reason::CallerGone);
+        co_return FilterVerdict::Answer;
+    }
+    co_return co_await runFilters(routingFilters(), exchange.context);
 }
 
-/// Cancels a request whose caller closed the connection, and expires its deadline so that it is not retried.
-void cancelRequest(RequestContext &context)
+/// Runs the request once all earlier responses are written. Reads its body, and nothing behind it until its own is written.
+asio::awaitable<void> serveAlone(CallerSession &session, CallerExchange &exchange, Parser &parser)
 {
-    context.deadline = earlier(context.deadline, {Clock::now()});
-    context.cancellation.request();
+    RequestContext &context = exchange.context;
+    if (co_await waitForTurn(session, exchange) == FilterVerdict::Continue) {
+        context.readBody = [&]() -> asio::awaitable<Reason> {
+            const Reason reason = context.bodyRead ? Reason::None : co_await readBody(session, parser, exchange);
+            context.bodyReadAt = context.bodyRead ? Clock::now() : TimePoint{};
+            session.watch.start();
+            co_return reason;
+        };
+        co_await runFilters(servingFilters(), context);
+        session.watch.stop();
+    }
+    co_await finishExchange(session, exchange);
 }
 
-/// Serves one request; true when the connection can carry another request.
-asio::awaitable<bool> serveOne(Session &session)
+/// Reads one request and starts it; false when nothing more may be read from the connection.
+asio::awaitable<bool> serveNext(const SessionPtr &session)
 {
-    error_code error;
     Parser parser;
-    parser.header_limit(maxHeaderBytes);
-    parser.body_limit(boost::none);
-    session.stream.expires_after(idleTimeout);
-    co_await http::async_read_header(session.stream, session.buffer, parser, into(error));
-    if (error) {
-        if (!connectionEnded(error)) {
-            co_await refuseMalformed(session, malformedReason(error));
-        }
+    if (!co_await readHeader(*session, parser)) {
         co_return false;
     }
-    std::optional<InFlight> inFlight(std::in_place, session.worker.node);
-    RequestContext context(session.worker);
-    std::optional<BodyReservation> reservation;
-    context.arrivedAt = Clock::now();
-    context.request.base() = parser.get().base();
-    context.bodyRead = parser.is_done();
-    PeerWatch watch(session.stream.socket(), [&context] { cancelRequest(context); });
-    context.readBody = [&]() -> asio::awaitable<Reason> {
-        const Reason reason = co_await readBody(session, parser, context, reservation);
-        watch.start();
-        co_return reason;
-    };
-    const bool keepAliveRequested = parser.get().keep_alive();
-    co_await runFilters(requestFilters(), context);
-    watch.stop();
-    const bool keepAlive = keepAliveRequested && context.bodyRead && !session.worker.node.stopping.load();
-    const bool open = co_await writeAnswer(session, context, keepAlive);
-    recordMetrics(context);
-    logRequest(context);
-    inFlight.reset();
-    if (!open) {
-        co_await linger(session);
+    CallerExchange &exchange = addExchange(*session);
+    takeRequest(exchange, parser);
+    const bool mayContinue = exchange.keepAliveRequested;
+    if (co_await runFilters(routingFilters(), exchange.context) == FilterVerdict::Answer) {
+        const bool whole = exchange.context.bodyRead;
+        co_await finishExchange(*session, exchange);
+        co_return mayContinue &&whole;
+    }
+    if (needsToRunAlone(exchange.context)) {
+        co_await serveAlone(*session, exchange, parser);
+    } else {
+        startBesideOthers(session, exchange);
+    }
+    co_return mayContinue;
+}
+
+/// True when the next request may be read. While the node stops, requests are read one at a time, so that the last response can
+/// close the connection.
+bool mayReadNext(const CallerSession &session)
+{
+    const NodeState &node = session.worker.node;
+    const bool stopping = node.stopping.load(std::memory_order_relaxed);
+    return session.pipeline.empty() || (!stopping && session.pipeline.mayRead(node.heldAnswerBytes.load(std::memory_order_relaxed), pipelineOptions));
+}
+
+/// Reads requests until nothing more can be read.
+asio::awaitable<void> serveRequests(const SessionPtr &session)
+{
+    bool open = true;
+    while (open) {
+        co_await waitUntil(*session, [&session] { return ended(*session) || mayReadNext(*session); });
+        open = !ended(*session) && co_await serveNext(session);
     }
-    co_return open;
 }
 
 } // namespace
@@ -223,11 +255,19 @@
 {
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    Session session{worker, beast::tcp_stream(std::move(socket)), {}};
-    bool open = true;
-    while (open) {
-        open = co_await serveOne(session);
+    const auto session = std::make_shared<CallerSession>(worker, std::move(socket));
+    asio::co_spawn(worker.context, closeWhenIdle(session), logFailures("idle-timer-failed"));
+    try {
+        co_await serveRequests(session);
+    } catch (...) {
+        failSession(*session, std::current_exception());
+    }
+    co_await waitUntil(*session, [&session] { return session->running == 0; });
+    if (!session->callerGone) {
+        co_await linger(*session);
     }
+    session->closing = true;
+    session->idleTimer.cancel();
 }
 
 } // namespace agatedoor
--- a/src/agatedoor/proxy/filter.cpp
+++ b/src/agatedoor/proxy/filter.cpp
@@ -129,34 +129,38 @@
     co_return FilterVerdict::Answer;
 }
 
-constexpr std::array filters{
-    Filter{"identify", assignRequestId},
-    Filter{"refuse-while-closing", refuseWhileClosing},
-    Filter{"limit-depth", limitDepth},
-    Filter{"pin-bundle", pinBundle},
+constexpr std::array routing{
+    Filter{"identify", assignRequestId}, Filter{"refuse-while-closing", refuseWhileClosing}, Filter{"limit-depth", limitDepth}, Filter{"pin-bundle", pinBundle},
     Filter{"find-route", findRoute},
-    Filter{"take-body", readWholeBody},
-    Filter{"attest", setTrustedHeaders},
-    Filter{"set-deadline", setDeadline},
-    Filter{"refuse-what-outlasts-stop", refuseDeadlineAfterStop},
+};
+
+constexpr std::array serving{
+    Filter{"take-body", readWholeBody},  Filter{"attest", setTrustedHeaders},
+    Filter{"set-deadline", setDeadline}, Filter{"refuse-what-outlasts-stop", refuseDeadlineAfterStop},
     Filter{"forward", forwardToBackend},
 };
 
 } // namespace
 
-std::span<const Filter> requestFilters()
+std::span<const Filter> routingFilters()
+{
+    return routing;
+}
+
+std::span<const Filter> servingFilters()
 {
-    return filters;
+    return serving;
 }
 
-asio::awaitable<void> runFilters(std::span<const Filter> filters, RequestContext &context)
+asio::awaitable<FilterVerdict> runFilters(std::span<const Filter> filters, RequestContext &context)
 {
     for (const auto &filter : filters) {
         const FilterVerdict verdict = co_await filter.run(context);
         if (verdict == FilterVerdict::Answer) {
-            co_return;
+            co_return verdict;
         }
     }
+    co_return FilterVerdict::Continue;
 }
 
 } // namespace agatedoor
--- a/src/agatedoor/proxy/filter.hpp
+++ b/src/agatedoor/proxy/filter.hpp
@@ -21,10 +21,13 @@
     asio::awaitable<FilterVerdict> (*run)(RequestContext &);
 };
 
-/// @brief All filters in the order in which they run.
-std::span<const Filter> requestFilters();
+/// @brief First part of the chain, in the order in which the filters run: identifies the request and finds its route.
+std::span<const Filter> routingFilters();
 
-/// @brief Runs the filters until one returns FilterVerdict::Answer.
-asio::awaitable<void> runFilters(std::span<const Filter> filters, RequestContext &context);
+/// @brief Second part of the chain: takes the body and has the request served.
+std::span<const Filter> servingFilters();
+
+/// @brief Runs the filters until one returns FilterVerdict::Answer; the verdict of the last one that ran.
+asio::awaitable<FilterVerdict> runFilters(std::span<const Filter> filters, RequestContext &context);
 
 } // namespace agatedoor
--- a/src/agatedoor/proxy/metrics.cpp
+++ b/src/agatedoor/proxy/metrics.cpp
@@ -43,6 +43,7 @@
     stream << "agatedoor_retries_over_budget_total{" << label << "} " << metrics.retriesOverBudget << "\n";
     stream << "agatedoor_arrived_repeats_total{" << label << "} " << metrics.arrivedRepeats << "\n";
     stream << "agatedoor_silent_connections_total{" << label << "} " << metrics.silentConnections << "\n";
+    stream << "agatedoor_pipelined_requests_total{" << label << "} " << metrics.pipelinedRequests << "\n";
     stream << "agatedoor_hop_requests_total{" << label << "} " << metrics.peerRequests << "\n";
     stream << "agatedoor_measuring_bytes_total{" << label << "} " << metrics.measuringBytes << "\n";
     stream << "agatedoor_load_reports_withheld_total{" << label << "} " << metrics.reportsWithheld << "\n";
--- a/src/agatedoor/proxy/metrics.hpp
+++ b/src/agatedoor/proxy/metrics.hpp
@@ -42,6 +42,7 @@
     std::uint64_t retriesOverBudget = 0; ///< Retries and hedges not made because the retry budget was spent.
     std::uint64_t arrivedRepeats = 0; ///< Requests that are already marked as a retry or hedge when they arrive.
     std::uint64_t silentConnections = 0; ///< Reused connections to other nodes that turned out to be dead.
+    std::uint64_t pipelinedRequests = 0; ///< Callers' requests read while an earlier one on their connection was in progress.
     std::uint64_t peerRequests = 0; ///< Requests received from other nodes.
     std::uint64_t measuringBytes = 0; ///< Bytes of load reports sent to other nodes.
     std::uint64_t reportsWithheld = 0; ///< Load reports not sent because the measuring budget was spent.
--- a/src/agatedoor/wire/http_service.cpp
+++ b/src/agatedoor/wire/http_service.cpp
@@ -1,5 +1,7 @@
 #include "agatedoor/wire/http_service.hpp"
 
+#include "agatedoor/wire/log.hpp"
+
 #include "peer_watch.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -188,7 +190,7 @@
             tcp::socket socket(m_context);
             co_await m_acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
             if (!error) {
-                asio::co_spawn(m_context, serve(beast::tcp_stream(std::move(socket))), asio::detached);
+                asio::co_spawn(m_context, serve(beast::tcp_stream(std::move(socket))), logFailures("service-connection-failed"));
                 continue;
             }
             asio::steady_timer pause(m_context, acceptPause);
--- a/src/agatedoor/wire/log.cpp
+++ b/src/agatedoor/wire/log.cpp
@@ -130,4 +130,26 @@
     log->forcedLog(levelPtr, boost::json::serialize(line));
 }
 
+void logFailure(std::string_view event, const std::exception_ptr &failure)
+{
+    std::string what;
+    try {
+        std::rethrow_exception(failure);
+    } catch (const std::exception &error) {
+        what = error.what();
+    } catch (...) {
+        what = "unknown exception";
+    }
+    logLine(LogLevel::Error, event, {{"outcome", std::string("ended")}, {"error", what}});
+}
+
+std::function<void(std::exception_ptr)> logFailures(std::string_view event)
+{
+    return [event](const std::exception_ptr &failure) {
+        if (failure) {
+            logFailure(event, failure);
+        }
+    };
+}
+
 } // namespace agatedoor
