Hedge once more when the connections of both attempts went silent

Cause: connections to both owners went silent one after the other while the lookup and its hedge were in progress. After one hedge no further one was ever considered: awaitAnswer dropped the hedge time for good.

Change: while attempts are late, another hedge is considered, within the attempts that the route allows (a hedge didn't look at them before) and the budget. It waits the longest delay, a quarter of the time left, so slowness alone doesn't multiply.

--- a/include/agatedoor/decide/hedge.hpp
+++ b/include/agatedoor/decide/hedge.hpp
@@ -12,8 +12,9 @@
 {
     bool idempotent = false;
     bool repeat = false; ///< The request is itself a retry or hedge by the caller or a node before this one.
-    int attempts = 0; ///< Attempts made so far, including the one in progress.
-    TimePoint startedAt; ///< Start of the attempt in progress.
+    int attempts = 0; ///< Attempts made so far, including those in progress.
+    bool hedged = false; ///< A hedge is in progress already.
+    TimePoint startedAt; ///< Start of the latest attempt in progress.
     Deadline deadline; ///< The caller's deadline.
     Duration tail{0}; ///< High quantile of the service's response time; 0 when unknown.
 };
@@ -26,8 +27,9 @@
     int deadlineDivisor = 4; ///< The delay is at most the time to the deadline divided by this.
 };
 
-/// @brief Time at which a second attempt starts if there is no answer by then; none when the request must not be hedged.
-/// The delay is the tail, or the largest allowed delay while the tail is unknown.
+/// @brief Time at which another attempt starts if there is no answer by then; none when the request must not be hedged.
+/// The delay is the tail, or the largest allowed delay while the tail is unknown. A further hedge always waits for that delay: two
+/// late attempts are more likely slow than lost, and it is meant for connections that went silent under both.
 std::optional<Deadline> hedgeTime(const HedgeContext &view, const HedgeOptions &options);
 
 } // namespace agatedoor
--- a/src/agatedoor/decide/hedge.cpp
+++ b/src/agatedoor/decide/hedge.cpp
@@ -13,7 +13,8 @@
     if (latest <= Duration::zero()) {
         return std::nullopt;
     }
-    const Duration wanted = view.tail > Duration::zero() ? std::max(view.tail, options.minDelay) : latest;
+    const bool tailKnown = view.tail > Duration::zero();
+    const Duration wanted = tailKnown && !view.hedged ? std::max(view.tail, options.minDelay) : latest;
     return deadlineAfter(view.startedAt, std::min(wanted, latest));
 }
 
--- a/src/agatedoor/decide/hedge_test.cpp
+++ b/src/agatedoor/decide/hedge_test.cpp
@@ -82,6 +82,12 @@
         EXPECT_EQ(hedgeTime(viewAt(start, Duration::zero()), HedgeOptions{}), latest);
         EXPECT_EQ(hedgeTime(viewAt(start, std::chrono::seconds(1)), HedgeOptions{}), latest);
     });
+    test::section("a further hedge waits for that share, however short the tail is", [&] {
+        HedgeContext view = viewAt(start, std::chrono::milliseconds(20));
+        view.attempts = 2;
+        view.hedged = true;
+        EXPECT_EQ(hedgeTime(view, HedgeOptions{}), latest);
+    });
     test::section("a non-idempotent request, a repeat, or a request that has used all attempts is never hedged", [] {
         HedgeContext view = viewAt(start, std::chrono::milliseconds(20));
         view.idempotent = false;
--- a/src/agatedoor/proxy/forward.cpp
+++ b/src/agatedoor/proxy/forward.cpp
@@ -5,11 +5,12 @@
 #include "parallel_attempts.hpp"
 #include "run_attempt.hpp"
 
+#include <algorithm>
+
 namespace agatedoor {
 
 namespace {
 
-constexpr HedgeOptions hedgeOptions{};
 constexpr Deadline never{TimePoint::max()};
 
 /// Stores the result of an attempt as the request's result. Once an attempt may have run, the outcome of the request is
@@ -39,39 +40,44 @@
 }
 
 /// When to start a hedge unless an answer arrives before; none when the request may not be hedged.
-std::optional<Deadline> hedgeTimeOf(const AttemptPlan &plan)
+/// @param hedged a hedge is in progress already
+std::optional<Deadline> hedgeTimeOf(const AttemptPlan &plan, bool hedged)
 {
     const RequestContext &context = plan.context;
     HedgeContext view;
     view.idempotent = context.route->idempotent && context.bundle->bundle.budgets.hedges;
     view.repeat = plan.arrivedAsRepeat;
     view.attempts = context.attempts;
+    view.hedged = hedged;
     view.startedAt = Clock::now();
     view.deadline = context.deadline;
     const auto tail = context.worker.tails.find(context.service->name);
     view.tail = tail == context.worker.tails.end() ? Duration::zero() : tail->second.value;
-    return hedgeTime(view, hedgeOptions);
+    HedgeOptions options;
+    options.maxAttempts = std::min(options.maxAttempts, context.route->maxAttempts);
+    return hedgeTime(view, options);
 }
 
 /// Starts a hedge on another backend server. When there is no other, hedges over a fresh connection to the same remote
-/// backend server.
-void startHedge(AttemptPlan &plan, ParallelAttempts &attempts)
+/// backend server. False when no hedge was started.
+bool startHedge(AttemptPlan &plan, ParallelAttempts &attempts)
 {
     RequestContext &context = plan.context;
     if (!hasToken(plan.tokens, plan.budget)) {
         ++context.worker.metrics.retriesOverBudget;
-        return;
+        return false;
     }
     const BackendEntry &slow = *attempts.all().back()->entry;
     const BackendEntry *other = nextBackend(plan);
     if (other == nullptr && slow.node == context.worker.node.settings.node) {
-        return;
+        return false;
     }
     spendToken(plan.tokens, plan.budget);
     countAttempt(context);
     ++context.worker.metrics.hedges;
     const BackendEntry &entry = other == nullptr ? slow : *other;
     attempts.start(runAttempt(context, entry, true, other == nullptr ? ConnectionChoice::Fresh : ConnectionChoice::Any), entry);
+    return true;
 }
 
 void recordTailLatency(RequestContext &context, const RunningAttempt &attempt)
@@ -104,18 +110,17 @@
     co_await attempts.cancelRest();
 }
 
-/// Waits for the attempts in progress and starts one hedge if they are late. True when one of them was answered.
+/// Waits for the attempts in progress and starts hedges while they are late. True when one of them was answered.
 asio::awaitable<bool> awaitAnswer(AttemptPlan &plan, ParallelAttempts &attempts)
 {
     RequestContext &context = plan.context;
     const bool first = context.attempts == 1;
-    std::optional<Deadline> hedge = hedgeTimeOf(plan);
+    std::optional<Deadline> hedge = hedgeTimeOf(plan, false);
     bool concluded = !first;
     while (attempts.hasPending()) {
         RunningAttempt *attempt = co_await attempts.next(hedge.value_or(never));
         if (attempt == nullptr) {
-            hedge.reset();
-            startHedge(plan, attempts);
+            hedge = startHedge(plan, attempts) ? hedgeTimeOf(plan, true) : std::nullopt;
             continue;
         }
         applyResult(context, std::move(attempt->result), !concluded);
--- a/tests/process/hedge_test.cpp
+++ b/tests/process/hedge_test.cpp
@@ -195,4 +195,26 @@
     section("silent connections are shown", [&] { EXPECT_GT(workerSum("silent_connections"), 0); });
 }
 
+TEST_F(Hedges, BothConnectionsGoSilentUnderOneLookup)
+{
+    start(2, 32);
+    const std::string id = "twice-silenced";
+    EXPECT_EQ(outcome(callMany("warm", 100, 200), "answered"), 100);
+    for (const auto &backend : backendNames) {
+        deployment.behave(backend, R"({"service_us":1500000})");
+    }
+    auto answer = std::async(std::launch::async, [&] { return look(id); });
+    section("the lookup and its hedge are both running when their connections go silent", [&] {
+        EXPECT_TRUE(eventually([&] { return runsOf(id) == 2; }));
+        for (const auto &backend : backendNames) {
+            deployment.behave(backend, R"({"service_us":1000})");
+        }
+        relayAll(R"({"mode":"silence"})");
+    });
+    section("a further hedge over a fresh connection is answered", [&] {
+        EXPECT_EQ(answer.get().status, 200);
+        EXPECT_EQ(runsOf(id), 3);
+    });
+}
+
 } // namespace agatedoor::test
