Bound what a peer can send that is no answer

Here, with the program before: endless informational responses kept the slot and the request thread busy until the deadline and after (965 MB taken in one request), an endless chunk extension grew the owner by 20 GB and ended the process, an endless header line was read for as long as the connection's orderly close lasted (1.1 GB). From a caller, an endless chunk extension grew the node by 188 MB.

Cause: parse buffers had no bound (the parser bounds headers only, not the lines of chunks and trailers), informational responses and responses to other requests were skipped without limit, the orderly close of an abandoned connection discarded bytes for half a second at any rate, and bodies of up to 16 MB were read without a bound on all of them together.

Change: proxy/response_reader reads the responses of backend servers and other nodes within limits; a connection holds at most 64 KB unparsed, whoever is at the other end; the orderly close discards at most 256 KB; large bodies share 32 MB of a node (memory_share, which replaces the reservation of request bodies). Bodies up to 64 KB take no share, so neighbours notice nothing. A sender past a limit gives no answer: the request's outcome stays unknown, as it may have run, and counts as a fault of the backend server. A long answer that makes progress is still read up to its size limit.

Tests: EndlessBytes.OfABackendServerEndWithATruthfulAnswerAndHarmNoOther (ten kinds) and EndlessBytes.OfACallerAreRefusedAndHarmNoOther; with the program before both fail, the first with the figures above.

--- a/src/agatedoor/control/node_state.hpp
+++ b/src/agatedoor/control/node_state.hpp
@@ -51,6 +51,7 @@
     std::atomic<TimePoint> stopDeadline{TimePoint::max()};
     std::atomic<std::int64_t> inFlight{0}; ///< Requests in progress on this node, from callers and from other nodes.
     std::atomic<std::int64_t> heldAnswerBytes{0}; ///< Bytes of finished responses to callers that are not written yet.
+    std::atomic<std::int64_t> largeAnswerBytes{0}; ///< Bytes of large responses that are being read.
     std::atomic<std::int64_t> bodyBytes{0}; ///< Bytes reserved for request bodies.
 };
 
--- a/src/agatedoor/proxy/backend_call.cpp
+++ b/src/agatedoor/proxy/backend_call.cpp
@@ -4,6 +4,7 @@
 #include "backend_connection.hpp"
 #include "headers.hpp"
 #include "outgoing_request.hpp"
+#include "response_reader.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -14,8 +15,8 @@
 
 namespace {
 
-constexpr std::uint64_t maxAnswerBytes = 16ULL * 1024 * 1024;
 constexpr std::chrono::milliseconds closeTimeout{500};
+constexpr std::size_t closeBytes = 256UL * 1024; ///< Most that is read and discarded while the backend server closes its end.
 
 SpanRequest makeBackendMessage(const EdgeHeaders &edge, const BackendRequest &request, const StringRequest &message, TimePoint now)
 {
@@ -91,20 +92,24 @@
 }
 
 /// Reads the final response. Skips informational responses, and responses to earlier requests on a reused connection.
-asio::awaitable<AttemptResult> readAnswer(const EdgeHeaders &edge, Connection &connection, const BackendRequest &request, bool headRequest)
+asio::awaitable<AttemptResult> readAnswer(NodeState &node, Connection &connection, const BackendRequest &request, bool headRequest)
 {
+    const EdgeHeaders &edge = node.edge;
+    PrecedingResponses preceding;
     error_code error;
     for (;;) {
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(maxAnswerBytes);
+        ResponseParser parser;
         parser.skip(headRequest);
-        co_await http::async_read(connection.stream, connection.buffer, parser, into(error));
+        co_await readResponse(connection.stream, connection.buffer, parser, node, error);
         if (error) {
             AttemptResult lostAnswer = unknownOutcome(reasonForLostAnswer(request));
             lostAnswer.outcome = parser.is_header_done() ? RunOutcome::AnswerLost : RunOutcome::Unknown;
             co_return lostAnswer;
         }
-        if (http::to_status_class(parser.get().result()) == http::status_class::informational) {
+        if (isInformational(parser.get())) {
+            if (!countInformational(preceding)) {
+                co_return unknownOutcome(Reason::ConnectionLost);
+            }
             continue;
         }
         if (isForeignAnswer(edge, parser.get(), request.id)) {
@@ -114,7 +119,7 @@
                      {"answer_id", std::string(header::text(parser.get(), edge.requestId))},
                      {"status", static_cast<std::int64_t>(parser.get().result_int())}});
             connection.unusable = true;
-            if (connection.reused && parser.get().keep_alive()) {
+            if (connection.reused && parser.get().keep_alive() && countForeign(preceding)) {
                 continue;
             }
             co_return unknownOutcome(Reason::MismatchedAnswer);
@@ -126,10 +131,10 @@
     }
 }
 
-asio::awaitable<AttemptResult> exchange(const EdgeHeaders &edge, Connection &connection, const BackendRequest &request, const StringRequest &message)
+asio::awaitable<AttemptResult> exchange(NodeState &node, Connection &connection, const BackendRequest &request, const StringRequest &message)
 {
     const ExchangeCanceller guard(connection, request);
-    const SpanRequest outgoing = makeBackendMessage(edge, request, message, Clock::now());
+    const SpanRequest outgoing = makeBackendMessage(node.edge, request, message, Clock::now());
     error_code error;
     co_await http::async_write(connection.stream, outgoing, into(error));
     if (error) {
@@ -138,7 +143,7 @@
             co_return unknownOutcome(reasonForLostAnswer(request));
         }
     }
-    co_return co_await readAnswer(edge, connection, request, message.method() == http::verb::head);
+    co_return co_await readAnswer(node, connection, request, message.method() == http::verb::head);
 }
 
 /// Closes a connection whose response is no longer needed. Holds the slot until the backend server closes its end or
@@ -149,8 +154,9 @@
     std::array<char, 4096> discarded{};
     connection->stream.socket().shutdown(tcp::socket::shutdown_send, error);
     connection->stream.expires_after(closeTimeout);
-    while (!error) {
-        co_await connection->stream.async_read_some(asio::buffer(discarded), into(error));
+    std::size_t size = 0;
+    while (!error && size < closeBytes) {
+        size += co_await connection->stream.async_read_some(asio::buffer(discarded), into(error));
     }
     connection.reset();
 }
@@ -193,7 +199,7 @@
         co_return notRun(Reason::DeadlinePassed);
     }
     backend.connection->stream.expires_never();
-    AttemptResult result = co_await exchange(worker.node.edge, *backend.connection, request, message);
+    AttemptResult result = co_await exchange(worker.node, *backend.connection, request, message);
     if (!result.response) {
         logDecision("answer-lost",
                     {{"request_id", request.id.value},
--- a/src/agatedoor/proxy/caller_server.cpp
+++ b/src/agatedoor/proxy/caller_server.cpp
@@ -65,8 +65,7 @@
     if (reservedSize > limit) {
         co_return Reason::BodyTooLarge;
     }
-    exchange.reservation.emplace(context.worker.node, reservedSize);
-    if (!exchange.reservation->granted()) {
+    if (!exchange.bodyMemory.growTo(reservedSize)) {
         co_return Reason::MemoryLimit;
     }
     parser.body_limit(static_cast<std::uint64_t>(limit));
--- a/src/agatedoor/proxy/caller_session.cpp
+++ b/src/agatedoor/proxy/caller_session.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr std::size_t readAheadBytes = 64UL * 1024; ///< Received while no request may be parsed, to notice a close behind it.
 constexpr std::chrono::seconds idleTimeout{60};
 constexpr std::chrono::seconds writeTimeout{30};
 
@@ -76,7 +75,7 @@
     , stream(std::move(socket))
     , changed(worker.context)
     , idleTimer(worker.context)
-    , watch(stream.socket(), [this] { cancelExchanges(*this); }, {&buffer, readAheadBytes})
+    , watch(stream.socket(), [this] { cancelExchanges(*this); }, {&buffer, maxUnparsedBytes})
 {
     restartIdleTime(*this);
 }
--- a/src/agatedoor/proxy/caller_session.hpp
+++ b/src/agatedoor/proxy/caller_session.hpp
@@ -2,8 +2,8 @@
 
 #include "agatedoor/decide/pipelining.hpp"
 #include "agatedoor/wire/peer_watch.hpp"
-#include "body_reservation.hpp"
 #include "in_flight.hpp"
+#include "memory_share.hpp"
 #include "request_context.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -11,7 +11,6 @@
 #include <deque>
 #include <exception>
 #include <memory>
-#include <optional>
 
 /// @brief Connection of one caller and the requests on it whose responses are not written yet.
 namespace agatedoor {
@@ -23,13 +22,14 @@
         : inFlight(worker.node)
         , position(place)
         , context(worker)
+        , bodyMemory(worker.node.bodyBytes, bodyMemoryBytes)
     {
     }
 
     InFlight inFlight;
     PipelinePosition position;
     RequestContext context;
-    std::optional<BodyReservation> reservation;
+    MemoryShare bodyMemory;
     bool keepAliveRequested = false;
     bool finished = false;
     StringResponse response; ///< Set once the request has finished.
@@ -43,7 +43,7 @@
 
     Worker &worker;
     beast::tcp_stream stream;
-    beast::flat_buffer buffer; ///< Bytes that were received and not parsed yet.
+    beast::flat_buffer buffer{maxUnparsedBytes}; ///< Bytes that were received and not parsed yet.
     Pipeline pipeline;
     std::deque<CallerExchange> exchanges; ///< In step with the pipeline.
     int running = 0; ///< Requests that run beside the one that reads the connection.
--- a/src/agatedoor/proxy/connection_pool.hpp
+++ b/src/agatedoor/proxy/connection_pool.hpp
@@ -23,7 +23,7 @@
     std::unique_ptr<ConnectionLease>
         lease; ///< Only for connections to backend servers. Declared before the stream, so that it is released after the stream closes.
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{maxUnparsedBytes};
     bool reused = false; ///< Taken from the pool, so the other end may have become unreachable unnoticed.
     bool unusable = false; ///< A write failed, or a response to another request was received; not to be reused.
     TimePoint verifiedAt; ///< When the connection last returned to the pool after a complete response; the epoch when it must be verified again.
--- a/src/agatedoor/proxy/http_types.hpp
+++ b/src/agatedoor/proxy/http_types.hpp
@@ -17,6 +17,10 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+/// @brief Most bytes that a connection holds unparsed. Larger than any header that is accepted, so that only bytes without a line
+/// end or an end of the header fill it.
+inline constexpr std::size_t maxUnparsedBytes = 64UL * 1024;
+
 /// @brief Request or response with its body in memory.
 using StringRequest = http::request<http::string_body>;
 using StringResponse = http::response<http::string_body>;
--- a/src/agatedoor/proxy/peer_client.cpp
+++ b/src/agatedoor/proxy/peer_client.cpp
@@ -2,6 +2,7 @@
 
 #include "headers.hpp"
 #include "outgoing_request.hpp"
+#include "response_reader.hpp"
 
 #include <algorithm>
 
@@ -9,7 +10,6 @@
 
 namespace {
 
-constexpr std::uint64_t maxAnswerBytes = 16ULL * 1024 * 1024;
 constexpr std::chrono::milliseconds connectTimeout{250};
 constexpr std::chrono::milliseconds offerTimeout{500}; ///< For an offer over a new connection.
 constexpr std::chrono::milliseconds reusedOfferTimeout{150}; ///< Shorter, so that time is left to send the request again over a new connection.
@@ -55,11 +55,6 @@
     return error == beast::error::timeout ? timeout : Reason::ConnectionLost;
 }
 
-bool informational(const StringResponse &response)
-{
-    return http::to_status_class(response.result()) == http::status_class::informational;
-}
-
 /// Attempt result stated by the owning node's response; a response to another request leaves the outcome unknown.
 AttemptResult interpret(StringResponse response, const RequestId &id)
 {
@@ -88,14 +83,14 @@
 }
 
 /// Reads the final response; skips informational ones.
-asio::awaitable<Exchange> readAnswer(Connection &connection, const RequestId &id, bool headRequest)
+asio::awaitable<Exchange> readAnswer(NodeState &node, Connection &connection, const RequestId &id, bool headRequest)
 {
+    PrecedingResponses preceding;
     for (;;) {
         error_code error;
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(maxAnswerBytes);
+        ResponseParser parser;
         parser.skip(headRequest);
-        co_await http::async_read(connection.stream, connection.buffer, parser, into(error));
+        co_await readResponse(connection.stream, connection.buffer, parser, node, error);
         if (error) {
             Exchange exchange;
             exchange.result = unknownOutcome(reasonOf(error, Reason::AnswerTimeout));
@@ -104,9 +99,12 @@
             exchange.silent = !exchange.inconclusive && !parser.got_some();
             co_return exchange;
         }
-        if (!informational(parser.get())) {
+        if (!isInformational(parser.get())) {
             co_return makeExchange(parser.release(), id);
         }
+        if (!countInformational(preceding)) {
+            co_return Exchange{unknownOutcome(Reason::ConnectionLost), false, false, false, false};
+        }
     }
 }
 
@@ -153,7 +151,7 @@
 /// Sends the header and waits for the owning node's response. The request did not run, whatever the result.
 /// The response comes before any work is done, so a wait without a byte received marks the connection as silent, even
 /// when the wait was cancelled.
-asio::awaitable<OfferResult> offer(Connection &connection, Serializer &serializer, const BackendRequest &request)
+asio::awaitable<OfferResult> offer(NodeState &node, Connection &connection, Serializer &serializer, const BackendRequest &request)
 {
     error_code error;
     connection.stream.expires_at(offerDeadline(connection, request).at);
@@ -162,18 +160,22 @@
         co_return makeFailedOffer(error, true);
     }
     bool received = false;
+    PrecedingResponses preceding;
     for (;;) {
-        http::response_parser<http::string_body> parser;
-        co_await http::async_read(connection.stream, connection.buffer, parser, into(error));
+        ResponseParser parser;
+        co_await readResponse(connection.stream, connection.buffer, parser, node, error);
         if (error) {
             co_return makeFailedOffer(error, !received && !parser.got_some());
         }
         if (parser.get().result() == http::status::continue_) {
             co_return OfferResult{true, {}};
         }
-        if (!informational(parser.get())) {
+        if (!isInformational(parser.get())) {
             co_return makeRefusedOffer(parser.release(), request.id);
         }
+        if (!countInformational(preceding)) {
+            co_return makeFailedOffer(http::error::bad_status, false);
+        }
         received = true;
         connection.stream.expires_at(request.deadline.at);
     }
@@ -197,14 +199,14 @@
 }
 
 /// Sends the request over @p connection, with an offer if needed, and reads the response.
-asio::awaitable<Exchange> exchangeOver(Connection &connection, const BackendEntry &entry, const BackendRequest &request, const StringRequest &message,
-                                       bool idempotent)
+asio::awaitable<Exchange> exchangeOver(NodeState &node, Connection &connection, const BackendEntry &entry, const BackendRequest &request,
+                                       const StringRequest &message, bool idempotent)
 {
     const bool offered = mustOffer(connection, request, idempotent);
     SpanRequest outgoing = makePeerMessage(entry, request, message, offered, Clock::now());
     Serializer serializer(outgoing);
     if (offered) {
-        OfferResult end = co_await offer(connection, serializer, request);
+        OfferResult end = co_await offer(node, connection, serializer, request);
         if (!end.accepted) {
             end.exchange.reusable = end.exchange.reusable && co_await terminateRefusedOffer(connection);
             co_return end.exchange;
@@ -220,7 +222,7 @@
         const bool wasCancelled = error == asio::error::operation_aborted;
         co_return Exchange{unknownOutcome(reasonOf(error, Reason::AnswerTimeout)), false, !offered && !wasCancelled, !offered && wasCancelled, true};
     }
-    Exchange exchange = co_await readAnswer(connection, request.id, message.method() == http::verb::head);
+    Exchange exchange = co_await readAnswer(node, connection, request.id, message.method() == http::verb::head);
     exchange.silent = exchange.silent && !offered;
     exchange.inconclusive = exchange.inconclusive && !offered;
     exchange.committed = true;
@@ -244,7 +246,7 @@
             co_return notRun(Reason::ConnectFailed);
         }
         const CancelHook hook(request.cancellation, [&connection] { connection->stream.cancel(); });
-        Exchange exchange = co_await exchangeOver(*connection, entry, request, message, idempotent);
+        Exchange exchange = co_await exchangeOver(worker.node, *connection, entry, request, message, idempotent);
         const bool stale = connection->reused && exchange.silent;
         if (stale) {
             worker.peers.drop(entry.peers);
--- a/src/agatedoor/proxy/peer_server.cpp
+++ b/src/agatedoor/proxy/peer_server.cpp
@@ -2,10 +2,10 @@
 
 #include "agatedoor/wire/peer_watch.hpp"
 #include "backend_admission.hpp"
-#include "body_reservation.hpp"
 #include "headers.hpp"
 #include "in_flight.hpp"
 #include "link_traffic.hpp"
+#include "memory_share.hpp"
 
 #include <optional>
 
@@ -207,8 +207,8 @@
     if (const auto reason = refusalReason(worker.node, peerRequest.parser.get())) {
         co_return co_await refuse(peerRequest, *reason);
     }
-    const BodyReservation reservation(worker.node, declaredBodySize(peerRequest.parser));
-    if (!reservation.granted()) {
+    MemoryShare bodyMemory(worker.node.bodyBytes, bodyMemoryBytes);
+    if (!bodyMemory.growTo(declaredBodySize(peerRequest.parser))) {
         co_return co_await refuse(peerRequest, Reason::MemoryLimit);
     }
     if (!co_await readUnofferedBody(peerRequest)) {
@@ -260,7 +260,7 @@
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(maxUnparsedBytes);
     bool open = true;
     while (open) {
         open = co_await serveOne(worker, stream, buffer);
--- /dev/null
+++ b/src/agatedoor/proxy/response_reader.cpp
@@ -0,0 +1,36 @@
+#include "response_reader.hpp"
+
+#include "memory_share.hpp"
+
+namespace agatedoor {
+
+bool countInformational(PrecedingResponses &preceding, const ResponseLimits &limits)
+{
+    return ++preceding.informational <= limits.maxInformational;
+}
+
+bool countForeign(PrecedingResponses &preceding, const ResponseLimits &limits)
+{
+    return ++preceding.foreign <= limits.maxForeign;
+}
+
+bool isInformational(const StringResponse &response)
+{
+    return http::to_status_class(response.result()) == http::status_class::informational;
+}
+
+asio::awaitable<void> readResponse(beast::tcp_stream &stream, beast::flat_buffer &buffer, ResponseParser &parser, NodeState &node, error_code &error)
+{
+    MemoryShare share(node.largeAnswerBytes, largeAnswerMemoryBytes);
+    parser.body_limit(responseLimits.maxBodyBytes);
+    co_await http::async_read_header(stream, buffer, parser, into(error));
+    while (!error && !parser.is_done()) {
+        co_await http::async_read_some(stream, buffer, parser, into(error));
+        const auto size = static_cast<std::int64_t>(parser.get().body().size());
+        if (!error && size > responseLimits.unreservedBytes && !share.growTo(size)) {
+            error = http::error::body_limit;
+        }
+    }
+}
+
+} // namespace agatedoor
--- a/src/agatedoor/wire/http_call.cpp
+++ b/src/agatedoor/wire/http_call.cpp
@@ -24,6 +24,7 @@
 
 constexpr std::uint64_t maxAnswerBytes = 16ULL * 1024 * 1024;
 constexpr std::size_t streamPartBytes = 64UL * 1024;
+constexpr std::size_t maxUnparsedBytes = 64UL * 1024; ///< Held without a line end or an end of the header.
 
 http::request<http::string_body> toBeast(const Endpoint &endpoint, const HttpRequest &request)
 {
@@ -86,7 +87,7 @@
         co_return HttpError{HttpErrorKind::AnswerLost};
     }
     error_code error;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(maxUnparsedBytes);
     http::response_parser<http::string_body> parser;
     parser.body_limit(maxAnswerBytes);
     co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
@@ -106,7 +107,7 @@
         co_return HttpError{HttpErrorKind::AnswerLost};
     }
     error_code error;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(maxUnparsedBytes);
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(boost::none);
     co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
--- a/src/agatedoor/wire/http_service.cpp
+++ b/src/agatedoor/wire/http_service.cpp
@@ -31,6 +31,7 @@
 using boost::system::error_code;
 
 constexpr std::uint64_t maxRequestBytes = 4ULL * 1024 * 1024;
+constexpr std::size_t maxUnparsedBytes = 64UL * 1024; ///< Held without a line end or an end of the header.
 constexpr std::uint32_t maxHeaderBytes = 16 * 1024;
 constexpr std::chrono::seconds idleTimeout{60};
 constexpr std::chrono::milliseconds acceptPause{50};
@@ -200,7 +201,7 @@
 
     asio::awaitable<void> serve(beast::tcp_stream stream)
     {
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(maxUnparsedBytes);
         bool open = true;
         while (open) {
             open = co_await serveOne(stream, buffer);
--- /dev/null
+++ b/tests/process/endless_bytes_test.cpp
@@ -0,0 +1,155 @@
+#include "agatedoor/base/time.hpp"
+#include "support/deployment.hpp"
+#include "support/raw_backend.hpp"
+#include "support/raw_connection.hpp"
+#include "support/story.hpp"
+
+#include <fstream>
+#include <thread>
+
+namespace agatedoor::test {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr const char *bundle = "examples/deployments/statens_takstolsverk.toml";
+constexpr std::size_t partBytes = 16UL * 1024;
+constexpr std::int64_t headBound = 1024LL * 1024; ///< No lawful header comes near it; socket buffers alone hold some of it.
+constexpr std::int64_t bodyBound = 40LL * 1024 * 1024; ///< The largest body that is taken, and what the sockets hold.
+constexpr std::int64_t memoryBoundKb = 64LL * 1024; ///< By which a node's memory may grow.
+constexpr std::size_t callerParts = 8192; ///< Twice the memory by which the node may grow.
+constexpr Duration slack = 700ms; ///< Past the deadline, on a busy machine.
+
+/// Bytes of a backend server that are no answer, or more than one.
+struct Endless
+{
+    std::string name;
+    std::string start; ///< Sent first.
+    std::string again; ///< Sent again and again.
+    std::int64_t bound = headBound; ///< Most bytes that are taken over one connection.
+    Duration pause{0}; ///< Between parts.
+};
+
+std::vector<Endless> endlessAnswers()
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string x(partBytes, 'x');
+    const std::string field = "X-More: " + std::string(100, 'y') + "\r\n";
+    return {
+        {.name = "one endless line", .start = "HTTP/1.1 200 ", .again = x},
+        {.name = "no line at all", .start = x, .again = x},
+        {.name = "endless header fields", .start = ok, .again = field},
+        {.name = "endless informational responses", .start = "", .again = "HTTP/1.1 102 Processing\r\n\r\n"},
+        {.name = "an endless chunk extension", .start = chunked + "1;", .again = x},
+        {.name = "endless trailers", .start = chunked + "1\r\na\r\n0\r\n", .again = field},
+        {.name = "chunks for ever", .start = chunked, .again = "4000\r\n" + x + "\r\n", .bound = bodyBound},
+        {.name = "a body without a length for ever", .start = ok + "Connection: close\r\n\r\n", .again = x, .bound = bodyBound},
+        {.name = "a header one byte at a time", .start = ok, .again = "x", .pause = 20ms},
+        {.name = "a body one byte at a time", .start = ok + "Content-Length: 100000\r\n\r\n", .again = "x", .pause = 20ms},
+    };
+}
+
+/// Largest resident memory of a process so far, in KiB.
+std::int64_t peakMemoryKb(pid_t pid)
+{
+    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+    std::string word;
+    std::int64_t size = 0;
+    while (status >> word) {
+        if (word == "VmHWM:") {
+            status >> size;
+        }
+    }
+    return size;
+}
+
+} // namespace
+
+/// Two nodes: callers connect to the first, the second owns one backend server that sends bytes without end and one that is sound.
+class EndlessBytes : public ::testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        deployment.startStore();
+        deployment.rollOut(bundle);
+        deployment.startNode({"ingress", "sv-uppsala", "svealand"});
+        deployment.startNode({"owner", "sv-uppsala", "svealand"});
+        deployment.startBackend({"orders", "owner", "bestallning"});
+        deployment.waitUntilReady(1);
+    }
+    bool neighbourServes() const { return ask(deployment.callers("ingress"), {"GET", "/bestallning", {}, {}}).status == 200; }
+
+    Deployment deployment;
+};
+
+TEST_F(EndlessBytes, OfABackendServerEndWithATruthfulAnswerAndHarmNoOther)
+{
+    const Endpoint address{deployment.net() + ".77", 9100};
+    const std::string body = R"({"service":"ritarkiv","address":")" + toText(address) + R"(","slots":4,"connections":64})";
+    int number = 0;
+    for (const auto &endless : endlessAnswers()) {
+        const std::string name = "endless" + std::to_string(number++);
+        section(endless.name, [&] {
+            const auto before = peakMemoryKb(deployment.node("owner").pid());
+            RawBackend backend(address, [&](std::size_t part) {
+                std::this_thread::sleep_for(endless.pause);
+                return part == 0 && !endless.start.empty() ? endless.start : endless.again;
+            });
+            ASSERT_EQ(ask(deployment.backendsOf("owner"), {"PUT", "/v1/backends/" + name, {}, body}).status, 200);
+            deployment.waitUntilReady(2);
+            const TimePoint asked = Clock::now();
+            const auto reply = ask(deployment.callers("ingress"), {"GET", "/ritarkiv", {{"Agatedoor-Timeout-Us", "1000000"}}, {}});
+            EXPECT_LT(Clock::now() - asked, 1s + slack);
+            EXPECT_TRUE(reply.status == 502 || reply.status == 504) << reply.status << reply.body;
+            section("the connection is closed, and little was taken", [&] {
+                EXPECT_TRUE(eventually([&] { return backend.closedByOther() > 0; }));
+                EXPECT_LE(backend.mostSentBytes(), endless.bound);
+                EXPECT_LE(peakMemoryKb(deployment.node("owner").pid()) - before, memoryBoundKb);
+            });
+            section("the slot comes back and the neighbour is served", [&] {
+                EXPECT_TRUE(eventually([&] {
+                    const auto local = deployment.dump("owner").at("local_backends").as_object();
+                    return local.at(name).as_object().at("running").to_number<std::int64_t>() == 0;
+                }));
+                EXPECT_TRUE(neighbourServes());
+            });
+            ask(deployment.backendsOf("owner"), {"DELETE", "/v1/backends/" + name, {}, {}});
+            deployment.waitUntilReady(1);
+        });
+    }
+    section("the nodes are the same processes as before", [&] {
+        EXPECT_FALSE(deployment.node("ingress").waitForExit(0ms));
+        EXPECT_FALSE(deployment.node("owner").waitForExit(0ms));
+    });
+}
+
+TEST_F(EndlessBytes, OfACallerAreRefusedAndHarmNoOther)
+{
+    const std::string x(partBytes, 'x');
+    const std::string post = "POST /besiktning HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> starts{
+        {"one endless line", "GET /"},
+        {"endless header fields", "GET / HTTP/1.1\r\nX-Field: "},
+        {"an endless chunk extension", post + "1;"},
+        {"endless trailers", post + "1\r\na\r\n0\r\nX-Field: "},
+    };
+    for (const auto &[name, start] : starts) {
+        section(name, [&, start = start] {
+            const auto before = peakMemoryKb(deployment.node("ingress").pid());
+            const RawConnection connection(deployment.callers("ingress"), OtherEnd::MayBeGone);
+            connection.send(start);
+            for (std::size_t i = 0; i < callerParts; ++i) {
+                connection.send(x);
+            }
+            const std::string answer = connection.receive("\r\n\r\n");
+            EXPECT_TRUE(answer.empty() || answer.starts_with("HTTP/1.1 4")) << answer;
+            EXPECT_LE(peakMemoryKb(deployment.node("ingress").pid()) - before, memoryBoundKb);
+            EXPECT_TRUE(neighbourServes());
+        });
+    }
+}
+
+} // namespace agatedoor::test
--- /dev/null
+++ b/tests/support/raw_backend.cpp
@@ -0,0 +1,95 @@
+#include "support/raw_backend.hpp"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+
+namespace agatedoor::test {
+
+namespace {
+
+constexpr int pollMs = 20;
+constexpr int sendBufferBytes = 64 * 1024; ///< Small, so that what was sent tells what the other end took.
+
+int listenAt(const Endpoint &endpoint)
+{
+    const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    const int on = 1;
+    ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
+    EXPECT_EQ(::bind(listener, reinterpret_cast<const sockaddr *>(&address), sizeof(address)), 0);
+    EXPECT_EQ(::listen(listener, 16), 0);
+    return listener;
+}
+
+bool readable(int socket)
+{
+    pollfd entry{socket, POLLIN, 0};
+    return ::poll(&entry, 1, pollMs) > 0;
+}
+
+} // namespace
+
+RawBackend::RawBackend(const Endpoint &listen, Script script)
+    : m_script(std::move(script))
+    , m_listener(listenAt(listen))
+    , m_thread([this] { run(); })
+{
+}
+
+RawBackend::~RawBackend()
+{
+    m_ended = true;
+    m_thread.join();
+    ::close(m_listener);
+}
+
+void RawBackend::run()
+{
+    while (!m_ended) {
+        if (!readable(m_listener)) {
+            continue;
+        }
+        const int connection = ::accept(m_listener, nullptr, nullptr);
+        const timeval patience{0, pollMs * 1000};
+        ::setsockopt(connection, SOL_SOCKET, SO_SNDTIMEO, &patience, sizeof(patience));
+        ::setsockopt(connection, SOL_SOCKET, SO_SNDBUF, &sendBufferBytes, sizeof(sendBufferBytes));
+        serve(connection);
+        ::close(connection);
+    }
+}
+
+void RawBackend::serve(int connection)
+{
+    std::array<char, 4096> request{};
+    while (!m_ended && !readable(connection)) {}
+    if (m_ended || ::recv(connection, request.data(), request.size(), 0) <= 0) {
+        return;
+    }
+    std::size_t part = 0;
+    std::int64_t total = 0;
+    for (std::string bytes = m_script(part); !m_ended && !bytes.empty(); bytes = m_script(++part)) {
+        std::size_t sent = 0;
+        while (!m_ended && sent < bytes.size()) {
+            const ssize_t size = ::send(connection, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+            const bool waiting = size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+            if (size < 0 && !waiting) {
+                ++m_closedByOther;
+                return;
+            }
+            sent += size > 0 ? static_cast<std::size_t>(size) : 0;
+        }
+        total += static_cast<std::int64_t>(sent);
+        m_mostSentBytes = std::max(m_mostSentBytes.load(), total);
+    }
+}
+
+} // namespace agatedoor::test
--- /dev/null
+++ b/tests/support/raw_backend.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "agatedoor/base/endpoint.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <thread>
+
+/// @brief A backend server whose bytes a test writes itself.
+namespace agatedoor::test {
+
+/// @brief Reads one request a connection and answers it with whatever its script returns, until the script ends or the other
+/// end closes. Serves one connection at a time.
+class RawBackend
+{
+public:
+    /// @brief Returns the bytes to send next, by the number of the part; empty ends the connection.
+    using Script = std::function<std::string(std::size_t part)>;
+
+    RawBackend(const Endpoint &listen, Script script);
+    ~RawBackend();
+    RawBackend(const RawBackend &) = delete;
+    RawBackend &operator=(const RawBackend &) = delete;
+
+    /// @brief Connections that the other end closed before the script ended.
+    int closedByOther() const { return m_closedByOther; }
+    /// @brief Most bytes sent over one connection.
+    std::int64_t mostSentBytes() const { return m_mostSentBytes; }
+
+private:
+    void run();
+    void serve(int connection);
+
+    Script m_script;
+    int m_listener;
+    std::atomic<int> m_closedByOther{0};
+    std::atomic<std::int64_t> m_mostSentBytes{0};
+    std::atomic<bool> m_ended{false};
+    std::thread m_thread;
+};
+
+} // namespace agatedoor::test
