Test the second hedge from a full retry budget

Traced by the state dump that the test prints now: its 100 warm-up requests had hedged 14 times beside the load and left 0.7 and 1.4 retry tokens, so no further hedge was allowed, which is right. The check is the same; the warm-up goes, as a fresh node has tokens enough, and the first hedge then starts at its latest time.

--- a/tests/process/hedge_test.cpp
+++ b/tests/process/hedge_test.cpp
@@ -199,7 +199,6 @@
 {
     start(2, 32);
     const std::string id = "twice-silenced";
-    EXPECT_EQ(outcome(callMany("warm", 100, 200), "answered"), 100);
     for (const auto &backend : backendNames) {
         deployment.behave(backend, R"({"service_us":1500000})");
     }
