--- a/src/agatedoor/decide/pipelining_test.cpp
+++ b/src/agatedoor/decide/pipelining_test.cpp
@@ -105,7 +105,7 @@
 {
     for (std::uint64_t seed = 1; seed <= 500; ++seed) {
         SCOPED_TRACE("seed " + std::to_string(seed));
-        Random random(seed);
+        Random random{seed};
         Pipeline pipeline;
         std::vector<PipelinePosition> unfinished;
         std::vector<PipelinePosition> written;
--- a/tests/process/endless_bytes_test.cpp
+++ b/tests/process/endless_bytes_test.cpp
@@ -58,7 +58,7 @@
     std::int64_t initial = 0;
     std::int64_t most = 0;
     std::ifstream("/proc/sys/net/ipv4/tcp_rmem") >> least >> initial >> most;
-    return most + RawBackend::sendBufferBytes * 2;
+    return most + RawBackend::sendBufferBytes * 2L;
 }
 
 /// Largest resident memory of a process so far, in KiB.
--- a/tests/process/pipelining_test.cpp
+++ b/tests/process/pipelining_test.cpp
@@ -320,7 +320,7 @@
     constexpr int sequences = 150;
     for (std::uint64_t seed = 1; seed <= sequences; ++seed) {
         SCOPED_TRACE("seed " + std::to_string(seed));
-        Random random(seed);
+        Random random{seed};
         const std::size_t count = 1 + uniformIndex(random, 8);
         const std::size_t closing = uniformIndex(random, count);
         std::vector<std::string> expected;
