--- a/src/agatedoor/proxy/caller_session.cpp
+++ b/src/agatedoor/proxy/caller_session.cpp
@@ -54,7 +54,6 @@
         CallerExchange &exchange = session.exchanges.front();
         const bool open = co_await writeResponse(session, exchange);
         recordRequest(exchange.context);
-        session.worker.node.heldAnswerBytes -= exchange.heldBytes;
         session.pipeline.endWrite();
         session.exchanges.pop_front();
         restartIdleTime(session);
@@ -116,9 +115,9 @@
 {
     exchange.response = callerAnswer(exchange.context);
     exchange.finished = true;
-    exchange.heldBytes = static_cast<std::int64_t>(exchange.response.body().size());
-    session.worker.node.heldAnswerBytes += exchange.heldBytes;
-    session.pipeline.finish(exchange.position, exchange.heldBytes);
+    const auto size = static_cast<std::int64_t>(exchange.response.body().size());
+    exchange.heldMemory.growTo(size);
+    session.pipeline.finish(exchange.position, size);
     co_await writeFinished(session);
 }
 
--- a/src/agatedoor/proxy/caller_session.hpp
+++ b/src/agatedoor/proxy/caller_session.hpp
@@ -23,6 +23,7 @@
         , position(place)
         , context(worker)
         , bodyMemory(worker.node.bodyBytes, bodyMemoryBytes)
+        , heldMemory(worker.node.heldAnswerBytes, PipelineOptions{}.maxNodeHeldBytes)
     {
     }
 
@@ -30,10 +31,10 @@
     PipelinePosition position;
     RequestContext context;
     MemoryShare bodyMemory;
+    MemoryShare heldMemory; ///< Taken by the response until it is written. Past its limit nothing more is read; the response is kept.
     bool keepAliveRequested = false;
     bool finished = false;
     StringResponse response; ///< Set once the request has finished.
-    std::int64_t heldBytes = 0; ///< Bytes of the response that are counted as held.
 };
 
 /// @brief State of one connection. Used on one thread only; requests that run side by side share it.
