Mend two lint findings in tests of pipelining and endless bytes

The linter stopped the first whole check at a widening multiplication and at a vector that grew without its size reserved. No check changes.

--- a/tests/process/pipelining_test.cpp
+++ b/tests/process/pipelining_test.cpp
@@ -76,6 +76,7 @@
 std::vector<std::string> idsOf(const std::vector<Response> &responses)
 {
     std::vector<std::string> ids;
+    ids.reserve(responses.size());
     for (const auto &response : responses) {
         ids.push_back(response.id);
     }
--- a/tests/support/raw_backend.cpp
+++ b/tests/support/raw_backend.cpp
@@ -59,7 +59,7 @@
         }
         const int connection = ::accept(m_listener, nullptr, nullptr);
         const int sendBuffer = sendBufferBytes;
-        const timeval patience{0, pollMs * 1000};
+        const timeval patience{0, pollMs * 1000L};
         ::setsockopt(connection, SOL_SOCKET, SO_SNDTIMEO, &patience, sizeof(patience));
         ::setsockopt(connection, SOL_SOCKET, SO_SNDBUF, &sendBuffer, sizeof(sendBuffer));
         serve(connection);
