Let bursts of high-priority requests wait as long as they can be served

What callers saw: high-priority lookups with 990 ms left were refused as queue-full by the only backend server, though it would have run them within 40 ms.

Cause, from the log lines of the refused requests, which the test now prints when it fails: the queue held 8 waiters, two for each of 4 slots, all of the same class. Where the machine stalls, requests of some tens of milliseconds arrive at once, and the ninth was refused whatever its predicted wait. Ruled out: deadlines (990 ms left), lost wake-ups (waits and releases agree), connections (none at its limit).

Change: queueCapacity() in decide/admission. High-priority requests may wait while the backend server serves all of them within the longest wait at its average service time; without a service time, and for the other classes, the short queue stays.

Why it works: what bounds a wait is time, and the owner knows it; a count of waiters stands for it only where requests take as long as the longest wait.

--- a/include/agatedoor/decide/admission.hpp
+++ b/include/agatedoor/decide/admission.hpp
@@ -45,7 +45,7 @@
 /// @brief Limits of the queue.
 struct AdmissionOptions
 {
-    std::int64_t queuePerSlot = 2; ///< Queue capacity for each announced slot.
+    std::int64_t queuePerSlot = 2; ///< Queue capacity for each announced slot, where the service time doesn't allow more.
     Duration longestWait
         = std::chrono::milliseconds(100); ///< Longest wait for a slot; shorter than the time after which the sending node gives up on its offer.
 };
@@ -53,6 +53,12 @@
 /// @brief Time at which a request stops waiting for a slot: its own deadline or the longest wait, whichever is earlier.
 Deadline waitDeadline(const AdmissionRequest &request, const AdmissionOptions &options, TimePoint now);
 
+/// @brief Number of waiters at which a new request of class @p priority has to displace another, or is refused.
+/// Answers the pattern of a burst of high-priority requests at a short queue: those may wait while the backend server, at its
+/// average service time, serves all of them within the longest wait. Lower classes keep the short queue of @p announced slots,
+/// since they find room elsewhere sooner than behind the higher ones.
+std::int64_t queueCapacity(const BackendLoad &load, Slots announced, PriorityClass priority, const AdmissionOptions &options);
+
 /// @brief Decides at @p now whether a request runs, waits or is refused.
 /// When a slot is free, the request runs without comparing the service time with its deadline: the average may be out of date.
 AdmissionDecision decideAdmission(const BackendLoad &load, const AdmissionRequest &request, const AdmissionOptions &options, TimePoint now);
--- a/src/agatedoor/decide/admission.cpp
+++ b/src/agatedoor/decide/admission.cpp
@@ -1,5 +1,7 @@
 #include "agatedoor/decide/admission.hpp"
 
+#include <algorithm>
+
 namespace agatedoor {
 
 namespace {
@@ -20,6 +22,15 @@
     return earlier(request.deadline, deadlineAfter(now, options.longestWait));
 }
 
+std::int64_t queueCapacity(const BackendLoad &load, Slots announced, PriorityClass priority, const AdmissionOptions &options)
+{
+    const std::int64_t shortQueue = announced.value * options.queuePerSlot;
+    if (priority != PriorityClass::High || load.serviceTime <= Duration::zero()) {
+        return shortQueue;
+    }
+    return std::max(shortQueue, load.limit.value * options.longestWait / load.serviceTime);
+}
+
 AdmissionDecision decideAdmission(const BackendLoad &load, const AdmissionRequest &request, const AdmissionOptions &options, TimePoint now)
 {
     if (load.draining) {
--- a/src/agatedoor/decide/admission_test.cpp
+++ b/src/agatedoor/decide/admission_test.cpp
@@ -53,4 +53,29 @@
     });
 }
 
+TEST(Admission, BoundsTheQueueByTimeForHighPriorityOnly)
+{
+    const AdmissionOptions options;
+    const Slots announced{4};
+    BackendLoad load;
+    load.limit = announced;
+    load.serviceTime = std::chrono::milliseconds(10);
+    test::section("high-priority requests may wait while all are served within the longest wait",
+                  [&] { EXPECT_EQ(queueCapacity(load, announced, PriorityClass::High, options), 40); });
+    test::section("other classes keep the short queue", [&] {
+        EXPECT_EQ(queueCapacity(load, announced, PriorityClass::Normal, options), 8);
+        EXPECT_EQ(queueCapacity(load, announced, PriorityClass::Low, options), 8);
+    });
+    test::section("a limit below the announced slots serves fewer in that time", [&] {
+        load.limit = {3};
+        EXPECT_EQ(queueCapacity(load, announced, PriorityClass::High, options), 30);
+    });
+    test::section("the short queue holds while the service time is long or unknown", [&] {
+        load.serviceTime = std::chrono::seconds(1);
+        EXPECT_EQ(queueCapacity(load, announced, PriorityClass::High, options), 8);
+        load.serviceTime = Duration::zero();
+        EXPECT_EQ(queueCapacity(load, announced, PriorityClass::High, options), 8);
+    });
+}
+
 } // namespace agatedoor
--- a/src/agatedoor/state/gate.cpp
+++ b/src/agatedoor/state/gate.cpp
@@ -84,11 +84,6 @@
     wakeAll(ended);
 }
 
-std::int64_t queueCapacity(const Gate &gate, const AdmissionOptions &options)
-{
-    return gate.announced.load(std::memory_order_relaxed) * options.queuePerSlot;
-}
-
 AdmissionDecision refusal(Gate &gate, Reason reason)
 {
     countRefusal(gate, reason);
@@ -101,7 +96,8 @@
 {
     ticket->waiter = {{++gate.queue.lastId}, request.priority, waitDeadline(request, options, now)};
     ticket->queuedAt = now;
-    const JoinResult effect = join(gate.queue.order, ticket->waiter, queueCapacity(gate, options));
+    const Slots announced{gate.announced.load(std::memory_order_relaxed)};
+    const JoinResult effect = join(gate.queue.order, ticket->waiter, queueCapacity(loadOf(gate), announced, request.priority, options));
     if (!effect.joined) {
         return false;
     }
--- a/tests/process/limits_test.cpp
+++ b/tests/process/limits_test.cpp
@@ -84,7 +84,7 @@
     RecordProperty("high_answered", static_cast<int>(countOf(highOutcomes, "answered")));
     RecordProperty("rest_answered", static_cast<int>(countOf(restOutcomes, "answered")));
     RecordProperty("longest_wait_us", static_cast<int>(deployment.gate("stock", "longest_wait_us")));
-    section("what must come first completes", [&] { EXPECT_GE(countOf(highOutcomes, "answered"), 396); });
+    section("what must come first completes", [&] { EXPECT_GE(countOf(highOutcomes, "answered"), 396) << describeUnanswered(deployment, highOutcomes); });
     section("the rest isn't starved", [&] { EXPECT_GT(countOf(restOutcomes, "answered"), 0); });
     section("some had to be refused", [&] { EXPECT_GT(countOf(restOutcomes, "not-run"), 0); });
     section("what was refused as not run truly did not run", [&] {
--- a/tests/support/bounded_load.cpp
+++ b/tests/support/bounded_load.cpp
@@ -110,6 +110,20 @@
     return found == runs.end() ? 0 : found->second;
 }
 
+std::string describeUnanswered(const Deployment &deployment, const std::vector<CallRecord> &records)
+{
+    std::ostringstream text;
+    for (const auto &request : records) {
+        if (request.outcome == "answered") {
+            continue;
+        }
+        const double tookMs = std::chrono::duration<double, std::milli>(request.endedAt - request.at).count();
+        text << request.id << " sent at " << request.atMs << " ms: " << request.outcome << " after " << tookMs << " ms\n";
+        text << deployment.logLinesOf(request.id);
+    }
+    return text.str();
+}
+
 void expectTruth(const std::vector<CallRecord> &records, const RunCounts &runs, bool idempotent)
 {
     for (const auto &request : records) {
--- a/tests/support/bounded_load.hpp
+++ b/tests/support/bounded_load.hpp
@@ -69,6 +69,9 @@
 /// @brief Runs of one request; 0 when it is not listed.
 std::int64_t runsOf(const RunCounts &runs, const std::string &id);
 
+/// @brief One paragraph for each request that wasn't answered, with what the nodes logged of it. For the message of a failed check.
+std::string describeUnanswered(const Deployment &deployment, const std::vector<CallRecord> &records);
+
 /// @brief Expects that what is told as not run did not run, that what is answered ran, and that one that isn't
 /// idempotent ran once at most.
 void expectTruth(const std::vector<CallRecord> &records, const RunCounts &runs, bool idempotent);
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <csignal>
 #include <fstream>
+#include <sstream>
 
 namespace agatedoor::test {
 
@@ -249,6 +250,21 @@
     return parsedObject(ask(admin(node), {"GET", "/dump", {}, {}}));
 }
 
+std::string Deployment::logLinesOf(const std::string &requestId) const
+{
+    const std::string quoted = "\"" + requestId + "\"";
+    std::ostringstream text;
+    for (const auto &[name, node] : m_nodes) {
+        std::istringstream log(node->output());
+        for (std::string line; std::getline(log, line);) {
+            if (line.find(quoted) != std::string::npos) {
+                text << "  " << name << ": " << line << "\n";
+            }
+        }
+    }
+    return text.str();
+}
+
 json::object Deployment::runs(const std::string &backend) const
 {
     const json::object counts = parsedObject(ask(backendAddress(backend), {"GET", "/stand-in/runs", {}, {}}));
--- a/tests/support/deployment.hpp
+++ b/tests/support/deployment.hpp
@@ -85,6 +85,8 @@
 
     /// @brief Node's state dump; an empty object when it doesn't answer.
     boost::json::object dump(const std::string &node) const;
+    /// @brief What all nodes logged about one request so far, one line each, with the node's name before it.
+    std::string logLinesOf(const std::string &requestId) const;
     /// @brief Runs of each request id at a backend server, as it counted them.
     boost::json::object runs(const std::string &backend) const;
     /// @brief Changes a backend server's behaviour, for instance {"service_us":20000}.
