Take a retry token only when the retry is made

What callers saw: with one backend server that refuses, each refused request took a token of its service's retry budget for a retry that had nowhere to go, so that later requests found the budget empty when another backend server had come.

Cause: decideNextAttempt() spent the token before nextBackend() was asked. Seen in the log lines of refused requests (one attempt, retry_tokens_percent falling from 370 to 20 while every decision said retry-from-budget).

Change: the decision marks the plan, and countAttempt() takes the token as the attempt starts, on the same thread with no wait between.

Every repeat that is sent still takes its token, so the bound on arrivals is unchanged.

--- a/src/agatedoor/proxy/attempt_plan.cpp
+++ b/src/agatedoor/proxy/attempt_plan.cpp
@@ -119,7 +119,7 @@
     RetryOptions retries;
     retries.maxAttempts = context.route->maxAttempts;
     retries.roomSearches = context.bundle->bundle.budgets.roomSearches;
-    AttemptPlan plan{context, std::move(fleet), budget, context.worker.retryBudgets[context.service->name], retries, repeat, repeat, 0, 0, {}, {}};
+    AttemptPlan plan{context, std::move(fleet), budget, context.worker.retryBudgets[context.service->name], retries, repeat, repeat, 0, 0, false, {}, {}};
     updateBudget(plan);
     return plan;
 }
@@ -139,10 +139,14 @@
     return entry;
 }
 
-void countAttempt(RequestContext &context)
+void countAttempt(AttemptPlan &plan)
 {
-    ++context.attempts;
-    ++context.worker.metrics.attempts;
+    if (plan.needsToken) {
+        spendToken(plan.tokens, plan.budget);
+        plan.needsToken = false;
+    }
+    ++plan.context.attempts;
+    ++plan.context.worker.metrics.attempts;
 }
 
 bool decideNextAttempt(AttemptPlan &plan)
@@ -156,7 +160,7 @@
     }
     if (decision == RetryDecision::RetryFromBudget) {
         plan.repeat = true;
-        spendToken(plan.tokens, plan.budget);
+        plan.needsToken = true;
     }
     if (decision != RetryDecision::Stop) {
         ++metrics.retries;
--- a/src/agatedoor/proxy/attempt_plan.hpp
+++ b/src/agatedoor/proxy/attempt_plan.hpp
@@ -21,6 +21,7 @@
     bool repeat = false; ///< The next attempt is a retry or hedge, made by this node or by one earlier in the call chain.
     int freeRefusals = 0; ///< Attempts that failed without running, because of outdated information; retrying them needs no retry budget.
     int loadRefusals = 0; ///< Attempts that an owning node refused because of load.
+    bool needsToken = false; ///< The next attempt is a retry that takes a token when it starts.
     PaceSearch search;
     std::vector<BackendId> tried; ///< Backend servers tried in the current step of the search.
 };
@@ -31,10 +32,10 @@
 /// @brief Backend server for the next attempt, or null when there is none.
 const BackendEntry *nextBackend(AttemptPlan &plan);
 
-/// @brief Counts a new attempt.
-void countAttempt(RequestContext &context);
+/// @brief Counts a new attempt, and takes the token of a retry. A retry for which no backend server is left takes none.
+void countAttempt(AttemptPlan &plan);
 
-/// @brief Decides whether another attempt follows the one that ended; spends a retry token if it needs one.
+/// @brief Decides whether another attempt follows the one that ended, if there is a backend server for it.
 bool decideNextAttempt(AttemptPlan &plan);
 
 } // namespace agatedoor
--- a/src/agatedoor/proxy/forward.cpp
+++ b/src/agatedoor/proxy/forward.cpp
@@ -30,7 +30,7 @@
 {
     RequestContext &context = plan.context;
     while (const BackendEntry *entry = nextBackend(plan)) {
-        countAttempt(context);
+        countAttempt(plan);
         AttemptResult result = co_await runAttempt(context, *entry, plan.repeat, ConnectionChoice::Any);
         applyResult(context, std::move(result), context.attempts == 1);
         if (!decideNextAttempt(plan)) {
@@ -73,7 +73,7 @@
         return false;
     }
     spendToken(plan.tokens, plan.budget);
-    countAttempt(context);
+    countAttempt(plan);
     ++context.worker.metrics.hedges;
     const BackendEntry &entry = other == nullptr ? slow : *other;
     attempts.start(runAttempt(context, entry, true, other == nullptr ? ConnectionChoice::Fresh : ConnectionChoice::Any), entry);
@@ -141,7 +141,7 @@
     RequestContext &context = plan.context;
     ParallelAttempts attempts(co_await asio::this_coro::executor);
     while (const BackendEntry *entry = nextBackend(plan)) {
-        countAttempt(context);
+        countAttempt(plan);
         attempts.start(runAttempt(context, *entry, plan.repeat, ConnectionChoice::Any), *entry);
         if (co_await awaitAnswer(plan, attempts) || !decideNextAttempt(plan)) {
             co_return;
--- a/tests/process/limits_test.cpp
+++ b/tests/process/limits_test.cpp
@@ -1,4 +1,5 @@
 #include "agatedoor/base/time.hpp"
+#include "agatedoor/decide/retry_budget.hpp"
 #include "support/bounded_load.hpp"
 #include "support/raw_connection.hpp"
 #include "support/story.hpp"
@@ -242,6 +243,19 @@
         EXPECT_TRUE(deployment.runs("first").empty());
         EXPECT_EQ(deployment.runs("second").size(), answered);
     });
+    section("a retry for which no backend server is left takes no retry token", [&] {
+        deployment.behave("stock", R"({"shed":true})");
+        constexpr int requests = 40; // Several times the tokens that a thread starts with.
+        for (int i = 0; i < requests; ++i) {
+            EXPECT_EQ(ask(deployment.callers("ingress"), {"GET", "/catalogue", {}, {}}).status, 503);
+        }
+        const json::object state = deployment.dump("ingress");
+        for (const auto &worker : state.at("workers").as_array()) {
+            const json::object tokens = worker.at("retry_tokens").as_object();
+            EXPECT_TRUE(!tokens.contains("catalogue") || tokens.at("catalogue").to_number<double>() >= RetryBudget{}.tokens) << json::serialize(tokens);
+        }
+        deployment.behave("stock", R"({"shed":false})");
+    });
     section("a bare 503 is the backend server's answer", [&] {
         deployment.behave("stock", R"({"reject":true})");
         const auto reply = ask(deployment.callers("ingress"), {"GET", "/catalogue", {}, {}});
