End a watch of the store that sends bytes without end

What operators would see: a store, or whatever answers at its address, that sends a line without an end on a watch made the node hold every byte of it and search all of it again at each part; the watch passed its deadline, since a read that finds bytes at once never meets the stream's timer. The node's memory grew until the other end closed. Bundles came no more.

Cause: WatchCollector had no bound and searched from the start of what it held; httpStream() left the deadline to the stream's timer alone.

Change: a line of a watch is at most 16 MiB, as other answers are; only new bytes are searched; httpStream() compares the deadline after each part.

Evidence: EndlessAnswers.EndAWatchOfTheStoreInTimeAndWithinItsBound, seven kinds of bytes and progress without an event. EndlessAnswers.EndACallInTimeAndWithinItsBound shows that calls to the store and to peers' interfaces were bounded before. The platform's programs don't use this watch.

The size of the socket buffers, worked out in two tests, moves to tests/support.

--- a/src/agatedoor/wire/etcd_store.cpp
+++ b/src/agatedoor/wire/etcd_store.cpp
@@ -287,6 +287,8 @@
     return Done{};
 }
 
+constexpr std::size_t maxWatchLineBytes = 16UL * 1024 * 1024; ///< As much as any other answer of the store may have.
+
 /// Collects whole JSON lines of a watch stream.
 struct WatchCollector
 {
@@ -298,11 +300,13 @@
     /// Takes a part of the stream; false once events came, the watch was ended, or the stream can't be read.
     bool take(std::string_view part)
     {
+        const std::size_t searched = pending.size();
         pending += part;
-        for (auto end = pending.find('\n'); end != std::string::npos; end = pending.find('\n')) {
+        for (auto end = pending.find('\n', searched); end != std::string::npos; end = pending.find('\n')) {
             takeLine(std::string_view(pending).substr(0, end));
             pending.erase(0, end + 1);
         }
+        malformed = malformed || pending.size() > maxWatchLineBytes;
         return !malformed && !cancelled && reply.events.empty();
     }
 
--- a/src/agatedoor/wire/http_call.cpp
+++ b/src/agatedoor/wire/http_call.cpp
@@ -122,7 +122,8 @@
         const std::size_t size = part.size() - parser.get().body().size;
         const bool more = size == 0 || reader(std::string_view(part.data(), size));
         const bool partDone = !error || error == http::error::need_buffer;
-        if (!more || !partDone) {
+        // The stream's own timer doesn't end a read that finds bytes at once.
+        if (!more || !partDone || expired(deadline, Clock::now())) {
             break;
         }
     }
--- a/tests/process/endless_bytes_test.cpp
+++ b/tests/process/endless_bytes_test.cpp
@@ -51,16 +51,6 @@
     };
 }
 
-/// Most bytes that the socket buffers of a connection hold; what is in them was sent but not taken.
-std::int64_t socketBufferBytes()
-{
-    std::int64_t least = 0;
-    std::int64_t initial = 0;
-    std::int64_t most = 0;
-    std::ifstream("/proc/sys/net/ipv4/tcp_rmem") >> least >> initial >> most;
-    return most + RawBackend::sendBufferBytes * 2L;
-}
-
 /// Largest resident memory of a process so far, in KiB.
 std::int64_t peakMemoryKb(pid_t pid)
 {
--- a/tests/support/raw_backend.cpp
+++ b/tests/support/raw_backend.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <fstream>
 
 namespace agatedoor::test {
 
@@ -92,4 +93,13 @@
     }
 }
 
+std::int64_t socketBufferBytes()
+{
+    std::int64_t least = 0;
+    std::int64_t initial = 0;
+    std::int64_t most = 0;
+    std::ifstream("/proc/sys/net/ipv4/tcp_rmem") >> least >> initial >> most;
+    return most + RawBackend::sendBufferBytes * 2L;
+}
+
 } // namespace agatedoor::test
--- a/tests/support/raw_backend.hpp
+++ b/tests/support/raw_backend.hpp
@@ -44,4 +44,7 @@
     std::thread m_thread;
 };
 
+/// @brief Most bytes that the socket buffers of a RawBackend's connection hold; what is in them was sent but not taken.
+std::int64_t socketBufferBytes();
+
 } // namespace agatedoor::test
