Give each side of the request path its own folder and library

Cause: proxy/ held 53 files, 4,000 lines, in one place; what faces callers, what passes between nodes and what faces the backend server could include each other at will.

Each may use only those below it.

No behaviour changes.

--- a/src/agatedoor/proxy/backend_admission.hpp
+++ b/src/agatedoor/proxy/backend/backend_admission.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "agatedoor/base/result.hpp"
+#include "agatedoor/proxy/attempt.hpp"
+#include "agatedoor/proxy/cancellation.hpp"
+#include "agatedoor/proxy/worker.hpp"
 #include "agatedoor/state/bundle.hpp"
-#include "attempt.hpp"
-#include "cancellation.hpp"
-#include "worker.hpp"
 
 #include <memory>
 
--- a/src/agatedoor/proxy/backend_call.cpp
+++ b/src/agatedoor/proxy/backend/backend_call.cpp
@@ -1,10 +1,10 @@
 #include "agatedoor/decide/attempt_signal.hpp"
+#include "agatedoor/proxy/headers.hpp"
+#include "agatedoor/proxy/response_reader.hpp"
 #include "agatedoor/wire/log.hpp"
 #include "backend_admission.hpp"
 #include "backend_connection.hpp"
-#include "headers.hpp"
 #include "outgoing_request.hpp"
-#include "response_reader.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/agatedoor/proxy/backend_connection.cpp
+++ b/src/agatedoor/proxy/backend/backend_connection.cpp
@@ -1,6 +1,6 @@
 #include "backend_connection.hpp"
 
-#include "headers.hpp"
+#include "agatedoor/proxy/headers.hpp"
 
 namespace agatedoor {
 
--- a/src/agatedoor/proxy/backend_probe.hpp
+++ b/src/agatedoor/proxy/backend/backend_probe.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "worker.hpp"
+#include "agatedoor/proxy/worker.hpp"
 
 /// @brief Detects when a backend server that refused connections accepts them again.
 namespace agatedoor {
--- a/src/agatedoor/proxy/outgoing_request.cpp
+++ b/src/agatedoor/proxy/backend/outgoing_request.cpp
@@ -1,6 +1,6 @@
 #include "outgoing_request.hpp"
 
-#include "headers.hpp"
+#include "agatedoor/proxy/headers.hpp"
 
 namespace agatedoor {
 
--- a/src/agatedoor/proxy/pace_reading.cpp
+++ b/src/agatedoor/proxy/backend/pace_reading.cpp
@@ -1,7 +1,7 @@
 #include "pace_reading.hpp"
 
+#include "agatedoor/proxy/headers.hpp"
 #include "backend_connection.hpp"
-#include "headers.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
--- a/src/agatedoor/proxy/attempt_plan.cpp
+++ b/src/agatedoor/proxy/caller/attempt_plan.cpp
@@ -1,8 +1,8 @@
 #include "attempt_plan.hpp"
 
+#include "agatedoor/proxy/headers.hpp"
 #include "agatedoor/wire/log.hpp"
 #include "backend_choice.hpp"
-#include "headers.hpp"
 
 #include <algorithm>
 
--- a/src/agatedoor/proxy/attempt_plan.hpp
+++ b/src/agatedoor/proxy/caller/attempt_plan.hpp
@@ -2,7 +2,7 @@
 
 #include "agatedoor/decide/pace_search.hpp"
 #include "agatedoor/decide/retry.hpp"
-#include "request_context.hpp"
+#include "agatedoor/proxy/request_context.hpp"
 
 #include <vector>
 
--- a/src/agatedoor/proxy/backend_choice.cpp
+++ b/src/agatedoor/proxy/caller/backend_choice.cpp
@@ -2,8 +2,8 @@
 
 #include "agatedoor/decide/ejection.hpp"
 #include "agatedoor/decide/routing.hpp"
+#include "agatedoor/proxy/link_traffic.hpp"
 #include "agatedoor/state/record_attempt.hpp"
-#include "link_traffic.hpp"
 
 #include <algorithm>
 
--- a/src/agatedoor/proxy/caller_answer.cpp
+++ b/src/agatedoor/proxy/caller/caller_answer.cpp
@@ -1,7 +1,7 @@
 #include "caller_answer.hpp"
 
 #include "agatedoor/decide/retry_after.hpp"
-#include "headers.hpp"
+#include "agatedoor/proxy/headers.hpp"
 
 #include <boost/json.hpp>
 
--- a/src/agatedoor/proxy/caller_answer.hpp
+++ b/src/agatedoor/proxy/caller/caller_answer.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "request_context.hpp"
+#include "agatedoor/proxy/request_context.hpp"
 
 /// @brief Builds the response that a caller receives.
 namespace agatedoor {
--- a/src/agatedoor/proxy/caller_server.cpp
+++ b/src/agatedoor/proxy/caller/caller_server.cpp
@@ -1,9 +1,9 @@
 #include "caller_server.hpp"
 
+#include "agatedoor/proxy/headers.hpp"
 #include "agatedoor/wire/log.hpp"
 #include "caller_session.hpp"
 #include "filter.hpp"
-#include "headers.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 
--- a/src/agatedoor/proxy/caller_server.hpp
+++ b/src/agatedoor/proxy/caller/caller_server.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "worker.hpp"
+#include "agatedoor/proxy/worker.hpp"
 
 /// @brief HTTP/1.1 server for callers.
 namespace agatedoor {
--- a/src/agatedoor/proxy/caller_session.hpp
+++ b/src/agatedoor/proxy/caller/caller_session.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "agatedoor/decide/pipelining.hpp"
+#include "agatedoor/proxy/in_flight.hpp"
+#include "agatedoor/proxy/memory_share.hpp"
+#include "agatedoor/proxy/request_context.hpp"
 #include "agatedoor/wire/peer_watch.hpp"
-#include "in_flight.hpp"
-#include "memory_share.hpp"
-#include "request_context.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
--- a/src/agatedoor/proxy/filter.cpp
+++ b/src/agatedoor/proxy/caller/filter.cpp
@@ -1,7 +1,7 @@
 #include "filter.hpp"
 
+#include "agatedoor/proxy/headers.hpp"
 #include "forward.hpp"
-#include "headers.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/agatedoor/proxy/forward.hpp
+++ b/src/agatedoor/proxy/caller/forward.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "request_context.hpp"
+#include "agatedoor/proxy/request_context.hpp"
 
 /// @brief Last filter of the chain: chooses backend servers, sends the request, and retries or hedges it where allowed.
 namespace agatedoor {
--- a/src/agatedoor/proxy/parallel_attempts.hpp
+++ b/src/agatedoor/proxy/caller/parallel_attempts.hpp
@@ -2,7 +2,7 @@
 
 #include "agatedoor/base/time.hpp"
 #include "agatedoor/membership/fleet_view.hpp"
-#include "attempt.hpp"
+#include "agatedoor/proxy/attempt.hpp"
 
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/agatedoor/proxy/request_record.hpp
+++ b/src/agatedoor/proxy/caller/request_record.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "request_context.hpp"
+#include "agatedoor/proxy/request_context.hpp"
 
 /// @brief Log line and metrics of a caller's request that has ended.
 namespace agatedoor {
--- a/src/agatedoor/proxy/run_attempt.hpp
+++ b/src/agatedoor/proxy/caller/run_attempt.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "peer_client.hpp"
-#include "request_context.hpp"
+#include "agatedoor/proxy/peer/peer_client.hpp"
+#include "agatedoor/proxy/request_context.hpp"
 
 /// @brief Runs one attempt of a request, on this node or through the node that owns the backend server.
 namespace agatedoor {
--- a/src/agatedoor/proxy/peer_client.cpp
+++ b/src/agatedoor/proxy/peer/peer_client.cpp
@@ -1,8 +1,8 @@
 #include "peer_client.hpp"
 
-#include "headers.hpp"
-#include "outgoing_request.hpp"
-#include "response_reader.hpp"
+#include "agatedoor/proxy/backend/outgoing_request.hpp"
+#include "agatedoor/proxy/headers.hpp"
+#include "agatedoor/proxy/response_reader.hpp"
 
 #include <algorithm>
 
--- a/src/agatedoor/proxy/peer_client.hpp
+++ b/src/agatedoor/proxy/peer/peer_client.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "agatedoor/membership/fleet_view.hpp"
-#include "attempt.hpp"
-#include "backend_admission.hpp"
+#include "agatedoor/proxy/attempt.hpp"
+#include "agatedoor/proxy/backend/backend_admission.hpp"
 
 /// @brief Client side of the protocol between nodes: forwards a request to the node that owns the chosen backend server.
 ///
--- a/src/agatedoor/proxy/peer_server.cpp
+++ b/src/agatedoor/proxy/peer/peer_server.cpp
@@ -1,11 +1,11 @@
 #include "peer_server.hpp"
 
+#include "agatedoor/proxy/backend/backend_admission.hpp"
+#include "agatedoor/proxy/headers.hpp"
+#include "agatedoor/proxy/in_flight.hpp"
+#include "agatedoor/proxy/link_traffic.hpp"
+#include "agatedoor/proxy/memory_share.hpp"
 #include "agatedoor/wire/peer_watch.hpp"
-#include "backend_admission.hpp"
-#include "headers.hpp"
-#include "in_flight.hpp"
-#include "link_traffic.hpp"
-#include "memory_share.hpp"
 
 #include <optional>
 
--- a/src/agatedoor/proxy/peer_server.hpp
+++ b/src/agatedoor/proxy/peer/peer_server.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "worker.hpp"
+#include "agatedoor/proxy/worker.hpp"
 
 /// @brief Server side of the protocol between nodes: accepts requests for backend servers of this VM from other nodes.
 namespace agatedoor {
