Try a hedge again that found no token

What callers saw: lookups whose connection had gone silent waited out their deadline of 2 s and failed as unknown, while the retry budget had tokens again long before.

Change: a hedge that found no token, or no other backend server, is due again after a quarter of the time that is left, as a further hedge is. None is due where less than 2 ms would be left to wait, so the steps before a deadline are few.

Every hedge still takes a token, so the bound on arrivals is unchanged.

--- a/include/agatedoor/decide/hedge.hpp
+++ b/include/agatedoor/decide/hedge.hpp
@@ -13,8 +13,8 @@
     bool idempotent = false;
     bool repeat = false; ///< The request is itself a retry or hedge by the caller or a node before this one.
     int attempts = 0; ///< Attempts made so far, including those in progress.
-    bool hedged = false; ///< A hedge is in progress already.
-    TimePoint startedAt; ///< Start of the latest attempt in progress.
+    bool hedged = false; ///< A hedge was due already, whether it was started or found no token.
+    TimePoint startedAt; ///< Start of the latest attempt in progress, or when a hedge was last due.
     Deadline deadline; ///< The caller's deadline.
     Duration tail{0}; ///< High quantile of the service's response time; 0 when unknown.
 };
@@ -29,7 +29,8 @@
 
 /// @brief Time at which another attempt starts if there is no answer by then; none when the request must not be hedged.
 /// The delay is the tail, or the largest allowed delay while the tail is unknown. A further hedge always waits for that delay: two
-/// late attempts are more likely slow than lost, and it is meant for connections that went silent under both.
+/// late attempts are more likely slow than lost, and it is meant for connections that went silent under both. So does a hedge that
+/// found no token: the budget may have one by then. There is none where less than the smallest delay is left to wait.
 std::optional<Deadline> hedgeTime(const HedgeContext &view, const HedgeOptions &options);
 
 } // namespace agatedoor
--- a/src/agatedoor/decide/hedge.cpp
+++ b/src/agatedoor/decide/hedge.cpp
@@ -10,7 +10,7 @@
         return std::nullopt;
     }
     const Duration latest = remaining(view.deadline, view.startedAt) / options.deadlineDivisor;
-    if (latest <= Duration::zero()) {
+    if (latest < options.minDelay) {
         return std::nullopt;
     }
     const bool tailKnown = view.tail > Duration::zero();
--- a/src/agatedoor/proxy/caller/forward.cpp
+++ b/src/agatedoor/proxy/caller/forward.cpp
@@ -40,7 +40,7 @@
 }
 
 /// When to start a hedge unless an answer arrives before; none when the request may not be hedged.
-/// @param hedged a hedge is in progress already
+/// @param hedged a hedge was due already, whether it was started or not
 std::optional<Deadline> hedgeTimeOf(const AttemptPlan &plan, bool hedged)
 {
     const RequestContext &context = plan.context;
@@ -59,25 +59,24 @@
 }
 
 /// Starts a hedge on another backend server. When there is no other, hedges over a fresh connection to the same remote
-/// backend server. False when no hedge was started.
-bool startHedge(AttemptPlan &plan, ParallelAttempts &attempts)
+/// backend server. Starts none when there is no such backend server or no token; both may have changed when it is tried again.
+void startHedge(AttemptPlan &plan, ParallelAttempts &attempts)
 {
     RequestContext &context = plan.context;
     if (!hasToken(plan.tokens, plan.budget)) {
         ++context.worker.metrics.retriesOverBudget;
-        return false;
+        return;
     }
     const BackendEntry &slow = *attempts.all().back()->entry;
     const BackendEntry *other = nextBackend(plan);
     if (other == nullptr && slow.node == context.worker.node.settings.node) {
-        return false;
+        return;
     }
     spendToken(plan.tokens, plan.budget);
     countAttempt(plan);
     ++context.worker.metrics.hedges;
     const BackendEntry &entry = other == nullptr ? slow : *other;
     attempts.start(runAttempt(context, entry, true, other == nullptr ? ConnectionChoice::Fresh : ConnectionChoice::Any), entry);
-    return true;
 }
 
 void recordTailLatency(RequestContext &context, const RunningAttempt &attempt)
@@ -120,7 +119,8 @@
     while (attempts.hasPending()) {
         RunningAttempt *attempt = co_await attempts.next(hedge.value_or(never));
         if (attempt == nullptr) {
-            hedge = startHedge(plan, attempts) ? hedgeTimeOf(plan, true) : std::nullopt;
+            startHedge(plan, attempts);
+            hedge = hedgeTimeOf(plan, true);
             continue;
         }
         applyResult(context, std::move(attempt->result), !concluded);
--- a/tests/process/hedge_test.cpp
+++ b/tests/process/hedge_test.cpp
@@ -195,6 +195,33 @@
     section("silent connections are shown", [&] { EXPECT_GT(workerSum("silent_connections"), 0); });
 }
 
+TEST_F(Hedges, ALookupThatFindsNoTokenIsHedgedOnceThereIsOne)
+{
+    constexpr int heldLookups = 12; ///< More than the tokens that a request thread holds at its start.
+    start(2, 32);
+    for (const auto &backend : backendNames) {
+        deployment.behave(backend, R"({"service_us":8000000})");
+    }
+    std::vector<std::future<HttpReply>> held;
+    for (int i = 0; i < heldLookups; ++i) {
+        held.push_back(std::async(std::launch::async, [this, i] { return look(idOf("held", i)); }));
+    }
+    section("the backend servers hang, and not every lookup finds a token for a hedge",
+            [&] { EXPECT_TRUE(eventually([&] { return workerSum("retries_over_budget") > 0; })); });
+    section("they serve new requests again, which put tokens into the budget", [&] {
+        for (const auto &backend : backendNames) {
+            deployment.behave(backend, R"({"service_us":1000})");
+        }
+        constexpr int quickLookups = 300;
+        EXPECT_EQ(outcome(callMany("quick", quickLookups, 1000), "answered"), quickLookups);
+    });
+    section("every lookup is answered before its deadline", [&] {
+        for (auto &answer : held) {
+            EXPECT_EQ(answer.get().status, 200);
+        }
+    });
+}
+
 TEST_F(Hedges, BothConnectionsGoSilentUnderOneLookup)
 {
     start(2, 32);
