Read a large response of unknown length into one reservation

What operators saw: a backend server that sends chunks for ever made its node grow by 95 MB, though large responses may take 32 MB together.

Only the size was counted.

Tried first: counting the allocation against 36 MB. It made no difference (95,240 KiB): what a refused body gives back stays in the heap, and the copies come before the count.

Change: once such a body is large, address space for the largest body is reserved at once. Nothing is copied any more, and what isn't written takes no memory, so that the count is what is taken.

--- a/src/agatedoor/proxy/response_reader.cpp
+++ b/src/agatedoor/proxy/response_reader.cpp
@@ -4,6 +4,20 @@
 
 namespace agatedoor {
 
+namespace {
+
+/// Reserves address space for the largest body, once a body of unknown length has grown large. Growing step by step would copy it,
+/// and take up to three times its size meanwhile; what isn't written takes no memory.
+void reserveLargeBody(ResponseParser &parser)
+{
+    std::string &body = parser.get().body();
+    if (!parser.content_length() && body.capacity() < responseLimits.maxBodyBytes) {
+        body.reserve(responseLimits.maxBodyBytes);
+    }
+}
+
+} // namespace
+
 bool countInformational(PrecedingResponses &preceding, const ResponseLimits &limits)
 {
     return ++preceding.informational <= limits.maxInformational;
@@ -27,7 +41,11 @@
     while (!error && !parser.is_done()) {
         co_await http::async_read_some(stream, buffer, parser, into(error));
         const auto size = static_cast<std::int64_t>(parser.get().body().size());
-        if (!error && size > responseLimits.unreservedBytes && !share.growTo(size)) {
+        if (error || size <= responseLimits.unreservedBytes) {
+            continue;
+        }
+        reserveLargeBody(parser);
+        if (!share.growTo(size)) {
             error = http::error::body_limit;
         }
     }
--- a/tests/process/endless_bytes_test.cpp
+++ b/tests/process/endless_bytes_test.cpp
@@ -5,6 +5,7 @@
 #include "support/story.hpp"
 
 #include <fstream>
+#include <future>
 #include <thread>
 
 namespace agatedoor::test {
@@ -126,6 +127,29 @@
     });
 }
 
+TEST_F(EndlessBytes, OfSeveralAnswersAtOnceStayWithinOneBound)
+{
+    constexpr int answers = 4;
+    const Endpoint address{deployment.net() + ".77", 9100};
+    const std::string body = R"({"service":"ritarkiv","address":")" + toText(address) + R"(","slots":8,"connections":64})";
+    const std::string chunk = "4000\r\n" + std::string(partBytes, 'x') + "\r\n";
+    RawBackend backend(address, [&](std::size_t part) { return part == 0 ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" : chunk; });
+    ASSERT_EQ(ask(deployment.backendsOf("owner"), {"PUT", "/v1/backends/endless", {}, body}).status, 200);
+    deployment.waitUntilReady(2);
+    const auto before = peakMemoryKb(deployment.node("owner").pid());
+    std::vector<std::future<HttpReply>> replies;
+    for (int i = 0; i < answers; ++i) {
+        replies.push_back(std::async(std::launch::async, [this] {
+            return ask(deployment.callers("ingress"), {"GET", "/ritarkiv", {{"Agatedoor-Timeout-Us", "1000000"}}, {}});
+        }));
+    }
+    for (auto &reply : replies) {
+        EXPECT_GE(reply.get().status, 502);
+    }
+    EXPECT_LE(peakMemoryKb(deployment.node("owner").pid()) - before, memoryBoundKb);
+    EXPECT_TRUE(neighbourServes());
+}
+
 TEST_F(EndlessBytes, OfACallerAreRefusedAndHarmNoOther)
 {
     const std::string x(partBytes, 'x');
