Accept what the listen queue holds before a stop closes it

What callers saw: a planned stop closed the listening socket with connections in its queue. The kernel resets those, also when their request had been sent already.

Cause: stopOnSignal() closed the acceptor; the accept loop takes one connection at a time.

Change: node/listener. closeListener() accepts what the queue holds, at most its length, then closes; the requests on those connections are served, or refused as not run when they could outlast the stop. The choice of a thread is made with the socket, so that the drain can't hand a socket of one event loop to another.

Evidence: Listener.AcceptsWhatItsQueueHoldsBeforeItCloses (three connections with a byte sent) and Listener.ClosesWhileItWaitsForConnections failed before: 0 of 3 and 0 of 1 were served.

--- a/src/agatedoor/node/node.cpp
+++ b/src/agatedoor/node/node.cpp
@@ -10,6 +10,7 @@
 #include "agatedoor/wire/log.hpp"
 #include "backend_api.hpp"
 #include "exit_watchdog.hpp"
+#include "listener.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -24,7 +25,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds acceptRetryDelay{20}; ///< After a connection could not be accepted.
 constexpr std::chrono::seconds pruneInterval{1};
 constexpr std::chrono::milliseconds stopPollInterval{10};
 constexpr std::chrono::milliseconds readinessNoticeTime{2500}; ///< Callers need two failed readiness checks, one second apart.
@@ -43,33 +43,16 @@
     return {static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count())};
 }
 
-std::optional<tcp::acceptor> listen(asio::io_context &context, const Endpoint &endpoint)
+/// Listener whose connections are assigned to the workers round robin.
+Listener makeListener(tcp::acceptor acceptor, const Workers &workers, Serve serve)
 {
-    error_code error;
-    const auto address = asio::ip::make_address(endpoint.address, error);
-    try {
-        return tcp::acceptor(context, tcp::endpoint(address, endpoint.port), true);
-    } catch (const boost::system::system_error &) {
-        return std::nullopt;
-    }
-}
-
-/// Accepts connections and assigns them to the workers round robin.
-asio::awaitable<void> acceptLoop(tcp::acceptor &acceptor, const Workers &workers, Serve serve)
-{
-    std::size_t turn = 0;
-    while (acceptor.is_open()) {
-        error_code error;
+    const auto nextTarget = [&workers, serve, turn = std::size_t{0}]() mutable {
         Worker &worker = *workers[turn++ % workers.size()];
-        tcp::socket socket(worker.context);
-        co_await acceptor.async_accept(socket, into(error));
-        if (!error) {
-            asio::co_spawn(worker.context, serve(worker, std::move(socket)), logFailures("connection-failed"));
-            continue;
-        }
-        asio::steady_timer pause(co_await asio::this_coro::executor, acceptRetryDelay);
-        co_await pause.async_wait(into(error));
-    }
+        const auto start
+            = [&worker, serve](tcp::socket socket) { asio::co_spawn(worker.context, serve(worker, std::move(socket)), logFailures("connection-failed")); };
+        return ConnectionTarget{&worker.context, start};
+    };
+    return {std::move(acceptor), nextTarget};
 }
 
 /// Regularly prunes the connection pools of @p worker.
@@ -135,7 +118,7 @@
 }
 
 /// Stops gracefully at a signal: notifies callers and then the fleet, accepts no new connections, finishes requests in progress and ends.
-asio::awaitable<void> stopOnSignal(asio::io_context &control, NodeState &node, PeerSync &peers, StoreSync &store, tcp::acceptor &callers)
+asio::awaitable<void> stopOnSignal(asio::io_context &control, NodeState &node, PeerSync &peers, StoreSync &store, Listener &callers)
 {
     error_code error;
     asio::signal_set signals(control, SIGINT, SIGTERM);
@@ -148,7 +131,7 @@
     node.refusingPeers.store(true);
     peers.notifyRecordChanged();
     co_await waitUntil(control, plan.acceptUntil);
-    callers.close(error);
+    closeListener(callers);
     node.stopDeadline.store(plan.latest.at);
     co_await waitUntilIdle(control, node, plan.latest);
     node.refusingCallers.store(true);
@@ -233,14 +216,16 @@
     const Workers workers = makeWorkers(node);
     const ExitStepMarker dropRequestsMarker{"drop-requests"};
     asio::io_context control{1};
-    auto callers = listen(control, settings.callers);
-    if (!callers) {
+    auto callersAcceptor = listen(control, settings.callers);
+    if (!callersAcceptor) {
         return ListenError{settings.callers};
     }
-    auto peers = listen(control, settings.peersListen);
-    if (!peers) {
+    auto peersAcceptor = listen(control, settings.peersListen);
+    if (!peersAcceptor) {
         return ListenError{settings.peersListen};
     }
+    Listener callers = makeListener(std::move(*callersAcceptor), workers, serveCaller);
+    Listener peers = makeListener(std::move(*peersAcceptor), workers, servePeer);
     BOOST_OUTCOME_TRY(const auto backendApi, HttpService::start(settings.backends, makeBackendApi(node)));
     BOOST_OUTCOME_TRY(const auto peerSync, PeerSync::start(node));
     const ExitStepMarker closePeersMarker{"close-peers"};
@@ -251,10 +236,10 @@
     peerSync->notifyRecordChanged();
     const WorkerThreads threads(workers);
     const ExitStepMarker joinWorkersMarker{"join-workers"};
-    asio::co_spawn(control, acceptLoop(*callers, workers, serveCaller), asio::detached);
-    asio::co_spawn(control, acceptLoop(*peers, workers, servePeer), asio::detached);
+    asio::co_spawn(control, acceptLoop(callers), asio::detached);
+    asio::co_spawn(control, acceptLoop(peers), asio::detached);
     asio::co_spawn(control, checkSettingsOnSignal(control, settingsFile), asio::detached);
-    asio::co_spawn(control, stopOnSignal(control, node, *peerSync, storeSync, *callers), asio::detached);
+    asio::co_spawn(control, stopOnSignal(control, node, *peerSync, storeSync, callers), asio::detached);
     logLine(LogLevel::Info, "started",
             {{"node", settings.node.value},
              {"service", settings.service ? settings.service->value : std::string()},
