Keep service times apart by route

Cause, from the log lines of the refusals: a change of weights brought orders of 120 ms to backend servers that had served lookups of 22 ms. The mean over both rose to more than twice its baseline, which the adaptive limit takes for a slowdown, though each route was as fast as before. And a lookup with 90 ms left was refused where the mean was 100 ms. Ruled out: a real slowdown (lookups took 27 to 33 ms at the median throughout).

Change: decide/service_times keeps windows, baselines and averages by route; the limit of a backend server moves by each route's own baseline, and a request's time is predicted from its route, at admission and against the VM's pace. The ingress names the route with a number of two bytes; a node that doesn't send it counts as one route. The detection of the knee still mixes routes.

--- a/include/agatedoor/base/ids.hpp
+++ b/include/agatedoor/base/ids.hpp
@@ -18,7 +18,7 @@
     friend auto operator<=>(const TextId &, const TextId &) = default;
 };
 
-/// @brief Version number that only increases; @p Tag distinguishes the kinds.
+/// @brief Version or other numeric identifier; @p Tag distinguishes the kinds.
 template <typename Tag>
 struct Counter
 {
@@ -49,6 +49,8 @@
 /// @brief Identifies one run of a node process; each restart has a greater value.
 /// Unit: microseconds since the Unix epoch at start.
 using Incarnation = Counter<struct IncarnationTag>;
+/// @brief Hash of a route, the same on all nodes; 0 when the route is unknown. Two routes may share a value.
+using RouteKey = Counter<struct RouteKeyTag>;
 
 } // namespace agatedoor
 
--- a/include/agatedoor/decide/admission.hpp
+++ b/include/agatedoor/decide/admission.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agatedoor/base/ids.hpp"
 #include "agatedoor/base/outcome.hpp"
 #include "agatedoor/base/priority.hpp"
 #include "agatedoor/base/time.hpp"
@@ -26,6 +27,8 @@
     PriorityClass priority = PriorityClass::Normal;
     Deadline deadline;
     std::int64_t ahead = 0; ///< Queued requests that get a slot before this one.
+    RouteKey route = {}; ///< Requests of one route are expected to take a similar time.
+    Duration serviceTime{0}; ///< Expected service time of this request; 0 when unknown, then the average over all requests is used.
 };
 
 /// @brief Result of admission for one request.
--- a/include/agatedoor/state/bundle.hpp
+++ b/include/agatedoor/state/bundle.hpp
@@ -49,6 +49,7 @@
     int maxAttempts = 3; ///< Maximum number of backend servers that one request is sent to.
     Bytes bodyLimit{64 * 1024}; ///< Maximum size of a request body.
     int line = 0; ///< Line in the bundle, for error messages.
+    RouteKey key = {}; ///< Set by BundleBuilder.
 };
 
 /// @brief Limits on retries, hedges, measurement traffic and traffic between regions.
--- a/include/agatedoor/state/gate.hpp
+++ b/include/agatedoor/state/gate.hpp
@@ -5,6 +5,7 @@
 #include "agatedoor/decide/knee.hpp"
 #include "agatedoor/decide/pace.hpp"
 #include "agatedoor/decide/priority_queue.hpp"
+#include "agatedoor/decide/service_times.hpp"
 #include "agatedoor/decide/token_bucket.hpp"
 #include "agatedoor/state/backend_stats.hpp"
 
@@ -51,7 +52,8 @@
     PriorityQueue order;
     std::map<WaiterId, std::shared_ptr<Ticket>> tickets;
     std::uint64_t lastId = 0;
-    AdaptiveLimit adaptive;
+    ServiceTimes times;
+    double adaptiveLimit = 0; ///< As AdaptiveLimit::limit; each route has a baseline of its own in @ref times.
     Knee knee;
     TokenBucket paceProbeBudget{1, TimePoint{}}; ///< Limits the probes that read the VM's pace.
 };
@@ -80,8 +82,6 @@
     std::atomic<std::int64_t> longestWaitNs{0};
     std::atomic<std::int64_t> pacePercent{0}; ///< Time that work takes, in percent of its usual time; 0 when it was never reported.
     std::atomic<std::int64_t> paceAtNs{0}; ///< Time of the last report of the pace.
-    std::atomic<std::int64_t> windowNs{0}; ///< Sum of the service times in the current window.
-    std::atomic<std::int64_t> windowCount{0}; ///< Samples in the current window.
     std::atomic<std::int64_t> announcedConnections; ///< Maximum number of open connections.
     std::atomic<std::int64_t> openConnections{0}; ///< Connections of all request threads, including idle ones.
     std::atomic<std::int64_t> idleConnections{0};
@@ -110,9 +110,19 @@
 /// @brief Releases a slot and grants it to the next queued request.
 void releaseSlot(Gate &gate, TimePoint now);
 
+/// @brief One answered request.
+struct ServedRequest
+{
+    RouteKey route;
+    Duration serviceTime{0};
+    std::int64_t runningAtStart = 0; ///< Requests that ran when this one started, including itself.
+};
+
 /// @brief Records the service time of an answer and adapts the concurrency limit.
-/// @param runningAtStart requests that ran when the answered request started, including itself
-void recordServiceTime(Gate &gate, Duration serviceTime, std::int64_t runningAtStart, TimePoint now);
+void recordServiceTime(Gate &gate, const ServedRequest &served, TimePoint now);
+
+/// @brief Expected service time of a request of @p route: the route's average, or that of all requests while it has none.
+Duration serviceTimeOf(Gate &gate, RouteKey route);
 
 /// @brief Records the pace that the backend server reported at @p now: the time work takes, in percent of its usual time.
 void recordPace(Gate &gate, std::int64_t percent, TimePoint now);
--- a/src/agatedoor/decide/admission.cpp
+++ b/src/agatedoor/decide/admission.cpp
@@ -43,7 +43,8 @@
         return {AdmissionVerdict::Run, Reason::None};
     }
     const Duration wait = predictedWait(load, request);
-    if (wait + load.serviceTime > remaining(request.deadline, now)) {
+    const Duration own = request.serviceTime > Duration::zero() ? request.serviceTime : load.serviceTime;
+    if (wait + own > remaining(request.deadline, now)) {
         return {AdmissionVerdict::Refuse, Reason::DeadlineTooShort};
     }
     if (wait > options.longestWait) {
--- a/src/agatedoor/proxy/backend/backend_admission.cpp
+++ b/src/agatedoor/proxy/backend/backend_admission.cpp
@@ -125,7 +125,7 @@
     }
     const LocalBackend &backend = found->second;
     SlotWait wait(worker.context, backend.gate);
-    const AdmissionDecision decision = wait.acquireSlot({request.priority, request.deadline});
+    const AdmissionDecision decision = wait.acquireSlot({.priority = request.priority, .deadline = request.deadline, .route = request.route});
     if (decision.verdict == AdmissionVerdict::Refuse) {
         logRefusal(request, *backend.gate, decision.reason);
         co_return decision.reason;
@@ -147,7 +147,7 @@
 
 asio::awaitable<Reason> admitBody(Worker &worker, const Admitted &admitted, BackendRequest request)
 {
-    request.holdUntil = holdDeadlineAfterBody(request.deadline, loadOf(admitted.slot.gate()).serviceTime, PaceOptions{}, Clock::now());
+    request.holdUntil = holdDeadlineAfterBody(request.deadline, serviceTimeOf(*admitted.slot.sharedGate(), request.route), PaceOptions{}, Clock::now());
     request.last = true; // Not refused for another VM to try: sending the body there would take longer than most slowdowns last.
     co_return co_await checkPace(worker, admitted, request);
 }
--- a/src/agatedoor/proxy/backend/backend_admission.hpp
+++ b/src/agatedoor/proxy/backend/backend_admission.hpp
@@ -32,6 +32,7 @@
     BackendId target;
     RequestId id;
     PriorityClass priority = PriorityClass::Normal;
+    RouteKey route;
     Deadline deadline;
     std::int64_t depth = 0;
     Deadline holdUntil; ///< Until when the request may wait while its VM is slow.
--- a/src/agatedoor/proxy/backend/backend_call.cpp
+++ b/src/agatedoor/proxy/backend/backend_call.cpp
@@ -166,6 +166,7 @@
 {
     TimePoint at;
     std::int64_t running = 0; ///< Requests running on the backend server then, including this one.
+    RouteKey route;
 };
 
 /// Records the service time and pace of an answered request, and returns its connection to the pool if it can be reused.
@@ -173,7 +174,7 @@
 {
     const TimePoint end = Clock::now();
     if (countsAsServiceTime(static_cast<int>(result.response->result_int()))) {
-        recordServiceTime(*admitted.slot.sharedGate(), end - started.at, started.running, end);
+        recordServiceTime(*admitted.slot.sharedGate(), {started.route, end - started.at, started.running}, end);
     }
     worker.metrics.backendTime(std::chrono::duration<double>(end - started.at).count());
     const auto pace = header::backendPace(header::text(*result.response, worker.node.edge.load));
@@ -194,7 +195,7 @@
     if (cancelled(request.cancellation)) {
         co_return notRun(Reason::CallerGone);
     }
-    const DispatchStart started{Clock::now(), loadOf(admitted.slot.gate()).running};
+    const DispatchStart started{Clock::now(), loadOf(admitted.slot.gate()).running, request.route};
     if (expired(request.deadline, started.at)) {
         co_return notRun(Reason::DeadlinePassed);
     }
--- a/src/agatedoor/proxy/backend/pace_reading.cpp
+++ b/src/agatedoor/proxy/backend/pace_reading.cpp
@@ -66,7 +66,7 @@
     view.probeAllowed = paceProbeAvailable(gate, now);
     view.holdUntil = request.holdUntil;
     view.deadline = request.deadline;
-    view.serviceTime = loadOf(gate).serviceTime;
+    view.serviceTime = serviceTimeOf(gate, request.route);
     view.last = request.last;
     return view;
 }
--- a/src/agatedoor/proxy/caller/run_attempt.cpp
+++ b/src/agatedoor/proxy/caller/run_attempt.cpp
@@ -57,6 +57,7 @@
     request.target = entry.backend;
     request.id = context.id;
     request.priority = context.route->priority;
+    request.route = context.route->key;
     request.deadline = context.deadline;
     request.depth = context.depth;
     request.holdUntil = context.holdUntil;
--- a/src/agatedoor/proxy/headers.hpp
+++ b/src/agatedoor/proxy/headers.hpp
@@ -22,6 +22,7 @@
 inline constexpr std::string_view target = "Agatedoor-Target"; ///< Id of the chosen backend server; only between nodes.
 inline constexpr std::string_view incarnation = "Agatedoor-Incarnation"; ///< Incarnation of the owning node that the sender expects; only between nodes.
 inline constexpr std::string_view priority = "Agatedoor-Priority";
+inline constexpr std::string_view route = "Agatedoor-Route"; ///< RouteKey of the request; only between nodes.
 inline constexpr std::string_view repeat = "Agatedoor-Repeat"; ///< 1 when the request is a retry or hedge; nested calls inherit it.
 inline constexpr std::string_view hold
     = "Agatedoor-Hold-Us"; ///< Longest time that the request may wait while its VM is slow, microseconds; only between nodes.
--- a/src/agatedoor/proxy/peer/peer_client.cpp
+++ b/src/agatedoor/proxy/peer/peer_client.cpp
@@ -40,6 +40,7 @@
         outgoing.set(header::hold, std::to_string(inMicroseconds(remaining(request.holdUntil, now)).count()));
     }
     outgoing.set(header::priority, std::string(wireName(request.priority)));
+    outgoing.set(header::route, std::to_string(request.route.value));
     if (!offered) {
         outgoing.prepare_payload();
         return outgoing;
--- a/src/agatedoor/proxy/peer/peer_server.cpp
+++ b/src/agatedoor/proxy/peer/peer_server.cpp
@@ -7,6 +7,7 @@
 #include "agatedoor/proxy/memory_share.hpp"
 #include "agatedoor/wire/peer_watch.hpp"
 
+#include <algorithm>
 #include <optional>
 
 namespace agatedoor {
@@ -28,6 +29,7 @@
     request.target = {std::string(header::text(fields, header::target))};
     request.id = {std::string(header::text(fields, header::requestId))};
     request.priority = priorityFromWire(header::text(fields, header::priority)).value_or(PriorityClass::Normal);
+    request.route = {static_cast<std::uint64_t>(std::max<std::int64_t>(0, header::number(fields, header::route).value_or(0)))};
     request.deadline = deadlineAfter(now, header::timeLeft(fields).value_or(Duration::zero()));
     request.holdUntil = deadlineAfter(now, header::timeLeft(fields, header::hold, std::chrono::microseconds(1)).value_or(Duration::zero()));
     request.last = header::number(fields, header::last).value_or(0) != 0;
--- a/src/agatedoor/state/bundle.cpp
+++ b/src/agatedoor/state/bundle.cpp
@@ -2,6 +2,9 @@
 
 #include <openssl/evp.h>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <algorithm>
 #include <array>
 #include <cctype>
@@ -111,6 +114,14 @@
     return Done{};
 }
 
+/// Hash of what identifies the route, from 1 to the greatest that fits into two bytes, since it is sent with every request.
+RouteKey keyOf(const Route &route)
+{
+    constexpr std::uint64_t keys = 65'535;
+    const std::string identity = route.method + " " + route.host + route.pathPrefix;
+    return {XXH3_64bits(identity.data(), identity.size()) % keys + 1};
+}
+
 } // namespace
 
 BundleBuilder &BundleBuilder::file(std::string name)
@@ -127,6 +138,7 @@
 
 BundleBuilder &BundleBuilder::route(Route route)
 {
+    route.key = keyOf(route);
     m_bundle.routes.push_back(std::move(route));
     return *this;
 }
--- a/src/agatedoor/state/gate.cpp
+++ b/src/agatedoor/state/gate.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr std::int64_t windowSamples = 32; ///< Service times that are averaged for one step of the adaptive limit.
 constexpr std::int64_t connectFailuresUntilDown = 3;
 constexpr TokenBucketOptions paceProbeLimits{45, 15}; ///< A backend server handles about sixty probes a second.
 
@@ -116,6 +115,7 @@
     const std::lock_guard lock(gate.queue.mutex);
     grantWaiting(gate, now, ended);
     request.ahead = waitersAhead(gate.queue.order, request.priority);
+    request.serviceTime = expectedTime(gate.queue.times, request.route);
     const AdmissionDecision decision = decideAdmission(loadOf(gate), request, options, now);
     if (decision.verdict == AdmissionVerdict::Refuse) {
         return refusal(gate, decision.reason);
@@ -135,23 +135,24 @@
     return {granted ? AdmissionVerdict::Run : AdmissionVerdict::Wait, Reason::None};
 }
 
-/// Adds a sample to the window; returns the mean when the window is full.
-std::optional<Duration> windowMean(Gate &gate, std::int64_t sample)
+/// Adapts the limit when the window of the request's route is full. Requires the mutex to be held.
+void adaptToServiceTime(Gate &gate, const ServedRequest &served, Slots announced)
 {
-    gate.windowNs.fetch_add(sample, std::memory_order_relaxed);
-    if (gate.windowCount.fetch_add(1, std::memory_order_relaxed) + 1 != windowSamples) {
-        return std::nullopt;
+    const auto mean = recordSample(gate.queue.times, served.route, served.serviceTime, ServiceTimesOptions{});
+    if (!mean) {
+        return;
     }
-    gate.windowCount.fetch_sub(windowSamples, std::memory_order_relaxed);
-    const std::int64_t sum = gate.windowNs.exchange(0, std::memory_order_relaxed);
-    return std::chrono::nanoseconds(sum / windowSamples);
+    Duration &baseline = gate.queue.times.routes.at(served.route).baseline;
+    const AdaptiveLimit adapted = adaptLimit({gate.queue.adaptiveLimit, baseline}, *mean, announced, AdaptiveLimitOptions{});
+    gate.queue.adaptiveLimit = adapted.limit;
+    baseline = adapted.baseline;
 }
 
 /// Requires the mutex to be held.
 void updateLimit(Gate &gate, TimePoint now, EndedTickets &ended)
 {
     const Slots announced{gate.announced.load(std::memory_order_relaxed)};
-    const Slots adapted = limitInSlots(gate.queue.adaptive, announced);
+    const Slots adapted = limitInSlots({gate.queue.adaptiveLimit, {}}, announced);
     const Slots kneeLimited = kneeLimit(gate.queue.knee, announced, KneeOptions{}, now);
     gate.limit.store(std::min(adapted, kneeLimited).value);
     grantWaiting(gate, now, ended);
@@ -237,24 +238,27 @@
     }
 }
 
-void recordServiceTime(Gate &gate, Duration serviceTime, std::int64_t runningAtStart, TimePoint now)
+void recordServiceTime(Gate &gate, const ServedRequest &served, TimePoint now)
 {
-    const std::int64_t sample = std::chrono::nanoseconds(serviceTime).count();
-    updateAverage(gate.serviceTimeNs, sample);
-    const auto mean = windowMean(gate, sample);
+    updateAverage(gate.serviceTimeNs, std::chrono::nanoseconds(served.serviceTime).count());
     EndedTickets ended;
     {
         const std::lock_guard lock(gate.queue.mutex);
         const Slots announced{gate.announced.load(std::memory_order_relaxed)};
-        recordSample(gate.queue.knee, {runningAtStart, announced, serviceTime}, KneeOptions{}, now);
-        if (mean) {
-            gate.queue.adaptive = adaptLimit(gate.queue.adaptive, *mean, announced, AdaptiveLimitOptions{});
-        }
+        recordSample(gate.queue.knee, {served.runningAtStart, announced, served.serviceTime}, KneeOptions{}, now);
+        adaptToServiceTime(gate, served, announced);
         updateLimit(gate, now, ended);
     }
     wakeAll(ended);
 }
 
+Duration serviceTimeOf(Gate &gate, RouteKey route)
+{
+    const std::lock_guard lock(gate.queue.mutex);
+    const Duration expected = expectedTime(gate.queue.times, route);
+    return expected > Duration::zero() ? expected : loadOf(gate).serviceTime;
+}
+
 void recordPace(Gate &gate, std::int64_t percent, TimePoint now)
 {
     gate.pacePercent.store(percent, std::memory_order_relaxed);
