Let the selected nodes read the bundle at once when they start

What callers saw: after all nodes had lost power at once, every node answered 503 (no-bundle) for 0.4 to 0.5 s after its start, two thirds of it for nothing.

Change: a node that is one of its region's watchers by its own view reads the store once as soon as it has joined without a bundle; the others hear of it from them.

--- a/include/agatedoor/membership/head_watch.hpp
+++ b/include/agatedoor/membership/head_watch.hpp
@@ -31,6 +31,7 @@
     bool joined = false;
     bool contact = false; ///< The node was a contact in the last round.
     bool watching = false;
+    bool wasSelected = false; ///< The node has been selected as a watcher since it joined.
     std::optional<TimePoint> selectedSince; ///< Since when the node has been selected as a watcher.
 };
 
--- a/src/agatedoor/membership/head_watch.cpp
+++ b/src/agatedoor/membership/head_watch.cpp
@@ -21,17 +21,30 @@
     return state.watching || now >= *state.selectedSince + options.settleTime;
 }
 
+/// True in the first round of a node that has joined in which it is a watcher by its own view.
+bool isNewlySelected(HeadWatchState &state, const HeadWatchView &view)
+{
+    const bool first = view.selected && !state.wasSelected;
+    state.wasSelected = state.wasSelected || view.selected;
+    return first;
+}
+
 /// True when peers had time to deliver a bundle and didn't. Nobody can deliver one to the first nodes that others join through, so
-/// a node that has become a contact doesn't wait.
+/// a node that has become a contact doesn't wait. Nor does one that is selected: where all nodes start at once, every peer would
+/// wait for the others.
 bool mustReadItself(HeadWatchState &state, const HeadWatchView &view, const HeadWatchOptions &options, TimePoint now)
 {
     const bool becameContact = view.isContact && !state.contact;
+    const bool newlySelected = isNewlySelected(state, view);
     state.contact = view.isContact;
-    if (view.hasBundle || (!becameContact && !expired(state.peersDeliverBy, now))) {
+    if (view.hasBundle) {
         return false;
     }
-    state.peersDeliverBy = deadlineAfter(now, options.selfReadInterval);
-    return true;
+    if (becameContact || expired(state.peersDeliverBy, now)) {
+        state.peersDeliverBy = deadlineAfter(now, options.selfReadInterval);
+        return true;
+    }
+    return newlySelected;
 }
 
 } // namespace
@@ -46,6 +59,7 @@
     }
     if (!state.joined) {
         state.joined = true;
+        state.wasSelected = false;
         state.peersDeliverBy = deadlineAfter(now, options.peerTime);
     }
     state.watching = shouldWatchAmongPeers(state, view, options, now);
--- a/src/agatedoor/node/listener_test.cpp
+++ b/src/agatedoor/node/listener_test.cpp
@@ -49,6 +49,7 @@
     KeptConnections node;
     asio::io_context callersContext;
     std::vector<tcp::socket> callers;
+    callers.reserve(waitingCallers);
     const tcp::endpoint address = node.address();
     for (int i = 0; i < waitingCallers; ++i) {
         callers.push_back(callerWithByte(callersContext, address));
