--- a/tests/process/endless_bytes_test.cpp
+++ b/tests/process/endless_bytes_test.cpp
@@ -6,6 +6,7 @@
 
 #include <fstream>
 #include <future>
+#include <memory>
 #include <thread>
 
 namespace agatedoor::test {
@@ -130,12 +131,16 @@
 TEST_F(EndlessBytes, OfSeveralAnswersAtOnceStayWithinOneBound)
 {
     constexpr int answers = 4;
-    const Endpoint address{deployment.net() + ".77", 9100};
-    const std::string body = R"({"service":"ritarkiv","address":")" + toText(address) + R"(","slots":8,"connections":64})";
     const std::string chunk = "4000\r\n" + std::string(partBytes, 'x') + "\r\n";
-    RawBackend backend(address, [&](std::size_t part) { return part == 0 ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" : chunk; });
-    ASSERT_EQ(ask(deployment.backendsOf("owner"), {"PUT", "/v1/backends/endless", {}, body}).status, 200);
-    deployment.waitUntilReady(2);
+    std::vector<std::unique_ptr<RawBackend>> backends;
+    for (int i = 0; i < answers; ++i) {
+        const Endpoint address{deployment.net() + ".77", static_cast<std::uint16_t>(9100 + i)};
+        const std::string body = R"({"service":"ritarkiv","address":")" + toText(address) + R"(","slots":8,"connections":64})";
+        const auto script = [&chunk](std::size_t part) { return part == 0 ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" : chunk; };
+        backends.push_back(std::make_unique<RawBackend>(address, script));
+        ASSERT_EQ(ask(deployment.backendsOf("owner"), {"PUT", "/v1/backends/endless" + std::to_string(i), {}, body}).status, 200);
+    }
+    deployment.waitUntilReady(1 + answers);
     const auto before = peakMemoryKb(deployment.node("owner").pid());
     std::vector<std::future<HttpReply>> replies;
     for (int i = 0; i < answers; ++i) {
--- a/tests/support/raw_backend.cpp
+++ b/tests/support/raw_backend.cpp
@@ -38,8 +38,9 @@
 
 } // namespace
 
-RawBackend::RawBackend(const Endpoint &listen, Script script)
+RawBackend::RawBackend(const Endpoint &listen, Script script, ConnectionEnd end)
     : m_script(std::move(script))
+    , m_end(end)
     , m_listener(listenAt(listen))
     , m_thread([this] { run(); })
 {
@@ -64,6 +65,10 @@
         ::setsockopt(connection, SOL_SOCKET, SO_SNDTIMEO, &patience, sizeof(patience));
         ::setsockopt(connection, SOL_SOCKET, SO_SNDBUF, &sendBuffer, sizeof(sendBuffer));
         serve(connection);
+        if (m_end == ConnectionEnd::Reset) {
+            const linger atOnce{1, 0};
+            ::setsockopt(connection, SOL_SOCKET, SO_LINGER, &atOnce, sizeof(atOnce));
+        }
         ::close(connection);
     }
 }
--- a/tests/support/raw_backend.hpp
+++ b/tests/support/raw_backend.hpp
@@ -11,6 +11,12 @@
 /// @brief A backend server whose bytes a test writes itself.
 namespace agatedoor::test {
 
+/// @brief How a RawBackend ends a connection whose script has ended.
+enum class ConnectionEnd {
+    Close,
+    Reset,
+};
+
 /// @brief Reads one request a connection and answers it with whatever its script returns, until the script ends or the other
 /// end closes. Serves one connection at a time.
 class RawBackend
@@ -22,7 +28,7 @@
     /// @brief Returns the bytes to send next, by the number of the part; empty ends the connection.
     using Script = std::function<std::string(std::size_t part)>;
 
-    RawBackend(const Endpoint &listen, Script script);
+    RawBackend(const Endpoint &listen, Script script, ConnectionEnd end = ConnectionEnd::Close);
     ~RawBackend();
     RawBackend(const RawBackend &) = delete;
     RawBackend &operator=(const RawBackend &) = delete;
@@ -37,6 +43,7 @@
     void serve(int connection);
 
     Script m_script;
+    ConnectionEnd m_end;
     int m_listener;
     std::atomic<int> m_closedByOther{0};
     std::atomic<std::int64_t> m_mostSentBytes{0};
