--- a/tests/process/endless_bytes_test.cpp
+++ b/tests/process/endless_bytes_test.cpp
@@ -143,6 +143,7 @@
     deployment.waitUntilReady(1 + answers);
     const auto before = peakMemoryKb(deployment.node("owner").pid());
     std::vector<std::future<HttpReply>> replies;
+    replies.reserve(answers);
     for (int i = 0; i < answers; ++i) {
         replies.push_back(std::async(std::launch::async, [this] {
             return ask(deployment.callers("ingress"), {"GET", "/ritarkiv", {{"Agatedoor-Timeout-Us", "1000000"}}, {}});
--- a/tests/process/hedge_test.cpp
+++ b/tests/process/hedge_test.cpp
@@ -203,6 +203,7 @@
         deployment.behave(backend, R"({"service_us":8000000})");
     }
     std::vector<std::future<HttpReply>> held;
+    held.reserve(heldLookups);
     for (int i = 0; i < heldLookups; ++i) {
         held.push_back(std::async(std::launch::async, [this, i] { return look(idOf("held", i)); }));
     }
