--- a/src/agatedoor/node/listener.hpp
+++ b/src/agatedoor/node/listener.hpp
@@ -26,7 +26,7 @@
 /// @brief Opens a listening socket; none when the address can't be bound.
 std::optional<tcp::acceptor> listen(asio::io_context &context, const Endpoint &endpoint);
 
-/// @brief Accepts connections until the listener is closed. An accept that fails is logged and tried again after a pause.
+/// @brief Accepts connections until the listener is closed. An accept that fails, as for lack of descriptors, is tried again after a pause.
 asio::awaitable<void> acceptLoop(Listener &listener);
 
 /// @brief Closes the listening socket, after accepting what its queue holds: a caller may have sent its request already, and
--- a/src/agatedoor/state/bundle_test.cpp
+++ b/src/agatedoor/state/bundle_test.cpp
@@ -117,6 +117,27 @@
     EXPECT_EQ(serviceOf("shop.example", "/a"), "none");
 }
 
+TEST(Bundle, GivesARouteTheSameKeyInEachBundle)
+{
+    const auto keyIn = [](const Route &route) { return BundleBuilder().service({{"a"}}).route(route).build().value().routes.front().key; };
+    const Route lookups = routeFor("h", "GET", "/lookups", "a");
+    const RouteKey key = keyIn(lookups);
+    test::section("it fits into two bytes and isn't that of an unknown route", [&] {
+        EXPECT_GT(key.value, 0U);
+        EXPECT_LE(key.value, 65'535U);
+    });
+    test::section("what the route does may change", [&] {
+        Route slower = lookups;
+        slower.timeout = std::chrono::seconds(9);
+        EXPECT_EQ(keyIn(slower), key);
+    });
+    test::section("another path, method or host is another route", [&] {
+        EXPECT_NE(keyIn(routeFor("h", "GET", "/orders", "a")), key);
+        EXPECT_NE(keyIn(routeFor("h", "POST", "/lookups", "a")), key);
+        EXPECT_NE(keyIn(routeFor("other", "GET", "/lookups", "a")), key);
+    });
+}
+
 TEST(Bundle, SplitsARouteByWeight)
 {
     Route route;
--- a/src/agatedoor/state/gate_mix_test.cpp
+++ b/src/agatedoor/state/gate_mix_test.cpp
@@ -44,7 +44,7 @@
 TEST(GateMix, ALargerShareOfLongRequestsIsNoSlowdown)
 {
     Gate gate(announced);
-    section("a backend server serves short lookups, with few long orders among them", [&] {
+    section("a backend server serves short lookups, then as many long orders too", [&] {
         serveMix(gate, 320, 0);
         serveMix(gate, 64, 1);
         EXPECT_EQ(gate.limit.load(), announced.value);
