Give the memory of large bodies back as soon as it is freed

What was seen: EndlessBytes.OfSeveralAnswersAtOnceStayWithinOneBound failed twice in 13 runs beside load: the owning node grew by 70,976 and 65,920 KiB, 65,536 allowed.

Cause: bodies take at most 32 MB of a node at once, but the C library raises its threshold for separate mappings with each large block that is freed. Later bodies then come from the threads' arenas, each of which keeps tens of megabytes. Ruled out: copies while a body grows (it is read into one reservation) and more than 32 MB in use (the share of the node's memory is checked at each read).

Change: the threshold is fixed at 256 KiB when a node starts, so each large body is a mapping of its own.

The test keeps its bound and records the growth.

--- a/src/agatedoor/programs/node_program.cpp
+++ b/src/agatedoor/programs/node_program.cpp
@@ -4,9 +4,23 @@
 #include "command_line.hpp"
 
 #include <iostream>
+#include <malloc.h>
 
 namespace agatedoor {
 
+namespace {
+
+constexpr int largeAllocationBytes = 256 * 1024;
+
+/// Gives the memory of large bodies back to the system as soon as they are freed. Without a fixed threshold the C library raises it with
+/// each large block that is freed, and each thread then keeps tens of megabytes.
+void releaseLargeAllocationsAtOnce()
+{
+    mallopt(M_MMAP_THRESHOLD, largeAllocationBytes);
+}
+
+} // namespace
+
 int runNodeProgram(int argc, char **argv, const std::string &name, const std::function<NodeInterfaces(const Settings &)> &makeEdges)
 {
     CLI::App app{"agatedoor node: forwards callers' requests to backend servers", name};
@@ -25,6 +39,7 @@
     if (checkOnly) {
         return exit_code::ok;
     }
+    releaseLargeAllocationsAtOnce();
     startLogging(name, settings.value().logLevel);
     const auto result = runNode(settings.value(), settingsFile, makeEdges(settings.value()));
     if (!result) {
--- a/tests/process/endless_bytes_test.cpp
+++ b/tests/process/endless_bytes_test.cpp
@@ -152,7 +152,9 @@
     for (auto &reply : replies) {
         EXPECT_GE(reply.get().status, 502);
     }
-    EXPECT_LE(peakMemoryKb(deployment.node("owner").pid()) - before, memoryBoundKb);
+    const std::int64_t grownKb = peakMemoryKb(deployment.node("owner").pid()) - before;
+    RecordProperty("grown_kb", static_cast<int>(grownKb));
+    EXPECT_LE(grownKb, memoryBoundKb);
     EXPECT_TRUE(neighbourServes());
 }
 
