Leave retry tokens and slots to lookups that hang

What callers saw: 504 at the deadline for lookups on a hung backend server, though a sound one had served others for a second.

Cause, from the log lines and the dump that the test now prints: the request thread of the failed lookups had 0.5 tokens left and 42 hedges over budget. Its tokens had gone to hedges of quick lookups, which the tail of a few milliseconds makes due whenever the machine stalls. Ruled out: the hedge not being tried again (it was), the backend servers' slots (32 each), lost responses (the owners saw the callers leave).

Change: - A hedge at the tail is optional. It needs more than half of the burst of tokens, takes only a slot that is free (no-free-slot else, and its token comes back), and so can neither empty the budget nor lengthen a queue. - Response times are kept apart by route, as service times are; both use the same bounded records now (decide/recent_routes). - Attempts that owning nodes refused no longer count against the attempts after which there is no hedge.

The test was wrong in one point: its quick lookups ended about when the second hedges were due, so that there were too few tokens by the budget's own rule. They go on as long as a held lookup may need one (1,500 instead of 300, all of which must be answered). The check of the held lookups is unchanged.

--- a/include/agatedoor/base/outcome.hpp
+++ b/include/agatedoor/base/outcome.hpp
@@ -43,6 +43,7 @@
     ConnectionLimit,
     BackendShed,
     BackendSlow, ///< The backend server's VM is slow at the moment.
+    NoFreeSlot, ///< All slots of the backend server are in use, and the request may not wait for one.
 };
 
 /// @brief Name of @p outcome in the Agatedoor-Outcome header.
--- a/include/agatedoor/decide/admission.hpp
+++ b/include/agatedoor/decide/admission.hpp
@@ -28,6 +28,7 @@
     Deadline deadline;
     std::int64_t ahead = 0; ///< Queued requests that get a slot before this one.
     RouteKey route = {}; ///< Requests of one route are expected to take a similar time.
+    bool mayWait = true; ///< The request may wait for a slot; else it runs at once or is refused.
     Duration serviceTime{0}; ///< Expected service time of this request; 0 when unknown, then the average over all requests is used.
 };
 
--- a/include/agatedoor/decide/retry_budget.hpp
+++ b/include/agatedoor/decide/retry_budget.hpp
@@ -31,7 +31,13 @@
 /// @brief True when a retry or hedge is allowed.
 bool hasToken(const RetryBudget &budget, const RetryBudgetOptions &options);
 
+/// @brief True when a hedge is allowed. An @p optional one leaves half of the burst to retries and to hedges of requests that hang.
+bool mayHedge(const RetryBudget &budget, const RetryBudgetOptions &options, bool optional);
+
 /// @brief Takes one token; false when there is none.
 bool spendToken(RetryBudget &budget, const RetryBudgetOptions &options);
 
+/// @brief Gives back the token of a hedge that reached no backend server.
+void returnToken(RetryBudget &budget, const RetryBudgetOptions &options);
+
 } // namespace agatedoor
--- a/include/agatedoor/decide/service_times.hpp
+++ b/include/agatedoor/decide/service_times.hpp
@@ -1,11 +1,8 @@
 #pragma once
 
-#include "agatedoor/base/ids.hpp"
 #include "agatedoor/base/time.hpp"
+#include "agatedoor/decide/recent_routes.hpp"
 
-#include <cstddef>
-#include <cstdint>
-#include <map>
 #include <optional>
 
 /// @brief Service times of one backend server, kept apart by route.
@@ -19,7 +16,7 @@
 struct ServiceTimesOptions
 {
     std::int64_t windowSamples = 32; ///< Service times that are averaged for one comparison with the baseline.
-    std::size_t maxRoutes = 64; ///< Routes kept; a further one replaces the one that was used least recently.
+    std::size_t maxRoutes = maxRecentRoutes;
 };
 
 /// @brief Service times of one route.
@@ -29,15 +26,10 @@
     std::int64_t windowCount = 0; ///< Samples in the current window.
     Duration average{0}; ///< Moving average of the service time.
     Duration baseline{0}; ///< Slowly moving mean that windows are compared with; 0 before the first window.
-    std::uint64_t lastSample = 0; ///< Number of the latest sample, counted over all routes.
 };
 
 /// @brief Service times by route.
-struct ServiceTimes
-{
-    std::map<RouteKey, RouteTimes> routes;
-    std::uint64_t samples = 0; ///< Samples recorded over all routes.
-};
+using ServiceTimes = RecentRoutes<RouteTimes>;
 
 /// @brief Adds a service time; returns the mean of the route's window when the window is full.
 std::optional<Duration> recordSample(ServiceTimes &times, RouteKey route, Duration serviceTime, const ServiceTimesOptions &options);
--- a/src/agatedoor/base/outcome.cpp
+++ b/src/agatedoor/base/outcome.cpp
@@ -44,6 +44,7 @@
     std::pair{Reason::ConnectionLimit, std::string_view{"connection-limit"}},
     std::pair{Reason::BackendShed, std::string_view{"backend-shed"}},
     std::pair{Reason::BackendSlow, std::string_view{"backend-slow"}},
+    std::pair{Reason::NoFreeSlot, std::string_view{"no-free-slot"}},
 };
 
 } // namespace
--- a/src/agatedoor/decide/admission.cpp
+++ b/src/agatedoor/decide/admission.cpp
@@ -42,6 +42,9 @@
     if (load.running < load.limit.value && load.queued == 0) {
         return {AdmissionVerdict::Run, Reason::None};
     }
+    if (!request.mayWait) {
+        return {AdmissionVerdict::Refuse, Reason::NoFreeSlot};
+    }
     const Duration wait = predictedWait(load, request);
     const Duration own = request.serviceTime > Duration::zero() ? request.serviceTime : load.serviceTime;
     if (wait + own > remaining(request.deadline, now)) {
--- a/src/agatedoor/decide/admission_test.cpp
+++ b/src/agatedoor/decide/admission_test.cpp
@@ -46,6 +46,14 @@
         load.running = 1;
         EXPECT_EQ(decided(load, std::chrono::milliseconds(1)).verdict, AdmissionVerdict::Run);
     });
+    test::section("a request that may not wait runs at once or not at all", [&] {
+        AdmissionRequest request{PriorityClass::High, deadlineAfter(now, std::chrono::seconds(1))};
+        request.mayWait = false;
+        EXPECT_EQ(decideAdmission(load, request, AdmissionOptions{}, now).reason, Reason::NoFreeSlot);
+        BackendLoad free = load;
+        free.running = 1;
+        EXPECT_EQ(decideAdmission(free, request, AdmissionOptions{}, now).verdict, AdmissionVerdict::Run);
+    });
     test::section("a draining backend server gets no requests", [&] {
         BackendLoad load = fullGate(std::chrono::milliseconds(1));
         load.draining = true;
--- a/src/agatedoor/decide/hedge.cpp
+++ b/src/agatedoor/decide/hedge.cpp
@@ -4,7 +4,7 @@
 
 namespace agatedoor {
 
-std::optional<Deadline> hedgeTime(const HedgeContext &view, const HedgeOptions &options)
+std::optional<PlannedHedge> planHedge(const HedgeContext &view, const HedgeOptions &options)
 {
     if (!view.idempotent || view.repeat || view.attempts >= options.maxAttempts) {
         return std::nullopt;
@@ -13,9 +13,9 @@
     if (latest < options.minDelay) {
         return std::nullopt;
     }
-    const bool tailKnown = view.tail > Duration::zero();
-    const Duration wanted = tailKnown && !view.hedged ? std::max(view.tail, options.minDelay) : latest;
-    return deadlineAfter(view.startedAt, std::min(wanted, latest));
+    const Duration tail = std::max(view.tail, options.minDelay);
+    const bool afterTail = view.tail > Duration::zero() && !view.hedged && tail < latest;
+    return PlannedHedge{deadlineAfter(view.startedAt, afterTail ? tail : latest), afterTail};
 }
 
 } // namespace agatedoor
--- a/src/agatedoor/decide/hedge_test.cpp
+++ b/src/agatedoor/decide/hedge_test.cpp
@@ -45,6 +45,12 @@
     return view;
 }
 
+/// Start of the next hedge, which must be planned.
+Deadline hedgeStart(const HedgeContext &view)
+{
+    return planHedge(view, HedgeOptions{}).value().startAt;
+}
+
 /// Simulates one request; true when it was hedged.
 bool request(Session &session, const Phase &phase)
 {
@@ -52,10 +58,10 @@
     const double spread = 0.8 + 0.4 * uniformUnit(session.random);
     const auto took = std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(slow ? phase.slowUs : phase.usualUs) * spread));
     recordFirstAttempt(session.budget, budgetOptions);
-    const auto at = hedgeTime(viewAt(start, session.tail.value), HedgeOptions{});
-    const bool wanted = at && at->at < start + took;
+    const auto hedge = planHedge(viewAt(start, session.tail.value), HedgeOptions{});
+    const bool wanted = hedge && hedge->startAt.at < start + took;
     recordSample(session.tail, QuantileOptions{}, took);
-    return wanted && spendToken(session.budget, budgetOptions);
+    return wanted && mayHedge(session.budget, budgetOptions, hedge->optional) && spendToken(session.budget, budgetOptions);
 }
 
 /// Simulates the requests of a phase and writes one line about them.
@@ -74,30 +80,64 @@
 TEST(Hedge, StartsAfterTheTailButWithinAShareOfTheDeadline)
 {
     const auto latest = deadlineAfter(start, std::chrono::milliseconds(500));
-    test::section("a hedge starts after the service's tail latency", [] {
-        const auto at = hedgeTime(viewAt(start, std::chrono::milliseconds(20)), HedgeOptions{});
-        EXPECT_EQ(at, deadlineAfter(start, std::chrono::milliseconds(20)));
-    });
+    test::section("a hedge starts after the service's tail latency",
+                  [] { EXPECT_EQ(hedgeStart(viewAt(start, std::chrono::milliseconds(20))), deadlineAfter(start, std::chrono::milliseconds(20))); });
     test::section("it starts at a share of the time to the deadline when the tail is unknown or longer", [&] {
-        EXPECT_EQ(hedgeTime(viewAt(start, Duration::zero()), HedgeOptions{}), latest);
-        EXPECT_EQ(hedgeTime(viewAt(start, std::chrono::seconds(1)), HedgeOptions{}), latest);
+        EXPECT_EQ(hedgeStart(viewAt(start, Duration::zero())), latest);
+        EXPECT_EQ(hedgeStart(viewAt(start, std::chrono::seconds(1))), latest);
     });
     test::section("a further hedge waits for that share, however short the tail is", [&] {
         HedgeContext view = viewAt(start, std::chrono::milliseconds(20));
         view.attempts = 2;
         view.hedged = true;
-        EXPECT_EQ(hedgeTime(view, HedgeOptions{}), latest);
+        EXPECT_EQ(hedgeStart(view), latest);
     });
     test::section("a non-idempotent request, a repeat, or a request that has used all attempts is never hedged", [] {
         HedgeContext view = viewAt(start, std::chrono::milliseconds(20));
         view.idempotent = false;
-        EXPECT_FALSE(hedgeTime(view, HedgeOptions{}));
+        EXPECT_FALSE(planHedge(view, HedgeOptions{}));
         view = viewAt(start, std::chrono::milliseconds(20));
         view.repeat = true;
-        EXPECT_FALSE(hedgeTime(view, HedgeOptions{}));
+        EXPECT_FALSE(planHedge(view, HedgeOptions{}));
         view.repeat = false;
         view.attempts = HedgeOptions{}.maxAttempts;
-        EXPECT_FALSE(hedgeTime(view, HedgeOptions{}));
+        EXPECT_FALSE(planHedge(view, HedgeOptions{}));
+    });
+}
+
+/// Many quick lookups that jitter, beside a few that hang.
+TEST(Hedge, WhatIsMerelyLateLeavesTokensToWhatHangs)
+{
+    RetryBudget budget;
+    budget.tokens = budgetOptions.burst;
+    test::section("a hedge after the tail is optional, one after the share of the deadline isn't", [] {
+        EXPECT_TRUE(planHedge(viewAt(start, std::chrono::milliseconds(20)), HedgeOptions{})->optional);
+        EXPECT_FALSE(planHedge(viewAt(start, std::chrono::seconds(1)), HedgeOptions{})->optional);
+        EXPECT_FALSE(planHedge(viewAt(start, Duration::zero()), HedgeOptions{})->optional);
+        HedgeContext further = viewAt(start, std::chrono::milliseconds(20));
+        further.hedged = true;
+        EXPECT_FALSE(planHedge(further, HedgeOptions{})->optional);
+    });
+    test::section("optional hedges spend half of the tokens at most", [&] {
+        while (mayHedge(budget, budgetOptions, true)) {
+            spendToken(budget, budgetOptions);
+        }
+        EXPECT_EQ(budget.tokens, budgetOptions.burst / 2);
+    });
+    test::section("the others spend the rest", [&] {
+        int hedges = 0;
+        while (mayHedge(budget, budgetOptions, false)) {
+            spendToken(budget, budgetOptions);
+            ++hedges;
+        }
+        EXPECT_EQ(hedges, static_cast<int>(budgetOptions.burst / 2));
+    });
+    test::section("a hedge that reached no backend server gives its token back, up to the burst", [&] {
+        returnToken(budget, budgetOptions);
+        EXPECT_EQ(budget.tokens, 1.0);
+        budget.tokens = budgetOptions.burst;
+        returnToken(budget, budgetOptions);
+        EXPECT_EQ(budget.tokens, budgetOptions.burst);
     });
 }
 
--- a/src/agatedoor/decide/retry.cpp
+++ b/src/agatedoor/decide/retry.cpp
@@ -23,7 +23,7 @@
 
 bool refusedByOwnerForLoad(RunOutcome outcome, Reason reason)
 {
-    return outcome == RunOutcome::NotRun && (reason == Reason::QueueFull || reason == Reason::DeadlineTooShort);
+    return outcome == RunOutcome::NotRun && (reason == Reason::QueueFull || reason == Reason::DeadlineTooShort || reason == Reason::NoFreeSlot);
 }
 
 RunOutcome combinedOutcome(RunOutcome first, RunOutcome second)
--- a/src/agatedoor/decide/retry_after.cpp
+++ b/src/agatedoor/decide/retry_after.cpp
@@ -12,6 +12,7 @@
     case Reason::ConnectionLimit:
     case Reason::BackendShed:
     case Reason::BackendSlow:
+    case Reason::NoFreeSlot:
     case Reason::MemoryLimit:
     case Reason::RetriesExhausted:
         return true;
--- a/src/agatedoor/decide/retry_budget.cpp
+++ b/src/agatedoor/decide/retry_budget.cpp
@@ -19,6 +19,11 @@
     return options.share > 0 && budget.tokens >= 1.0;
 }
 
+bool mayHedge(const RetryBudget &budget, const RetryBudgetOptions &options, bool optional)
+{
+    return hasToken(budget, options) && (!optional || budget.tokens > options.burst / 2);
+}
+
 bool spendToken(RetryBudget &budget, const RetryBudgetOptions &options)
 {
     if (!hasToken(budget, options)) {
@@ -28,4 +33,9 @@
     return true;
 }
 
+void returnToken(RetryBudget &budget, const RetryBudgetOptions &options)
+{
+    budget.tokens = std::min(options.burst, budget.tokens + 1.0);
+}
+
 } // namespace agatedoor
--- a/src/agatedoor/decide/retry_property_test.cpp
+++ b/src/agatedoor/decide/retry_property_test.cpp
@@ -125,9 +125,9 @@
         view.startedAt = start;
         view.deadline = deadlineAfter(start, std::chrono::microseconds(*rc::gen::inRange(-1000, 5'000'000)));
         view.tail = std::chrono::microseconds(*rc::gen::inRange(0, 10'000'000));
-        const auto at = hedgeTime(view, HedgeOptions{});
-        RC_ASSERT(!at || (view.idempotent && !view.repeat && view.attempts < HedgeOptions{}.maxAttempts));
-        RC_ASSERT(!at || (at->at >= start && *at < view.deadline));
+        const auto hedge = planHedge(view, HedgeOptions{});
+        RC_ASSERT(!hedge || (view.idempotent && !view.repeat && view.attempts < HedgeOptions{}.maxAttempts));
+        RC_ASSERT(!hedge || (hedge->startAt.at >= start && hedge->startAt < view.deadline));
     }));
 }
 
--- a/src/agatedoor/decide/service_times_test.cpp
+++ b/src/agatedoor/decide/service_times_test.cpp
@@ -35,7 +35,7 @@
     section("a route beyond the limit replaces the least recently used one", [&] {
         recordSample(times, lookups, milliseconds(20), options);
         recordSample(times, uploads, milliseconds(300), options);
-        EXPECT_EQ(times.routes.size(), 2);
+        EXPECT_EQ(times.entries.size(), 2);
         EXPECT_EQ(expectedTime(times, orders), Duration::zero());
         EXPECT_EQ(expectedTime(times, uploads), Duration(milliseconds(300)));
     });
--- a/src/agatedoor/node/admin_api.cpp
+++ b/src/agatedoor/node/admin_api.cpp
@@ -116,11 +116,12 @@
     };
 }
 
+/// High quantile of the response times, by the key of their route.
 json::object dumpTailLatencies(const Worker &worker)
 {
     json::object tails;
-    for (const auto &[service, estimate] : worker.tails) {
-        tails[service.value] = inMicroseconds(estimate.value).count();
+    for (const auto &[route, entry] : worker.responseTimes.entries) {
+        tails[std::to_string(route.value)] = inMicroseconds(entry.record.value).count();
     }
     return tails;
 }
--- a/src/agatedoor/proxy/backend/backend_admission.cpp
+++ b/src/agatedoor/proxy/backend/backend_admission.cpp
@@ -125,7 +125,8 @@
     }
     const LocalBackend &backend = found->second;
     SlotWait wait(worker.context, backend.gate);
-    const AdmissionDecision decision = wait.acquireSlot({.priority = request.priority, .deadline = request.deadline, .route = request.route});
+    const AdmissionDecision decision
+        = wait.acquireSlot({.priority = request.priority, .deadline = request.deadline, .route = request.route, .mayWait = !request.spareOnly});
     if (decision.verdict == AdmissionVerdict::Refuse) {
         logRefusal(request, *backend.gate, decision.reason);
         co_return decision.reason;
--- a/src/agatedoor/proxy/backend/backend_admission.hpp
+++ b/src/agatedoor/proxy/backend/backend_admission.hpp
@@ -38,6 +38,7 @@
     Deadline holdUntil; ///< Until when the request may wait while its VM is slow.
     bool last = false; ///< The sender has no other backend server to try, so the request starts on a slow VM too once holdUntil has passed.
     bool repeat = false; ///< The request is a retry or hedge.
+    bool spareOnly = false; ///< The request only takes a slot that is free and a VM that isn't slow.
     Cancellation *cancellation = nullptr; ///< Cancellation of the request; null when it cannot be cancelled.
 };
 
--- a/src/agatedoor/proxy/caller/attempt_plan.cpp
+++ b/src/agatedoor/proxy/caller/attempt_plan.cpp
@@ -124,6 +124,11 @@
     return plan;
 }
 
+int possibleArrivals(const AttemptPlan &plan)
+{
+    return plan.context.attempts - plan.freeRefusals - plan.loadRefusals;
+}
+
 const BackendEntry *nextBackend(AttemptPlan &plan)
 {
     const bool enough = stepExhausted(plan.search, searchOptions);
--- a/src/agatedoor/proxy/caller/attempt_plan.hpp
+++ b/src/agatedoor/proxy/caller/attempt_plan.hpp
@@ -32,6 +32,9 @@
 /// @brief Backend server for the next attempt, or null when there is none.
 const BackendEntry *nextBackend(AttemptPlan &plan);
 
+/// @brief Number of attempts that may have reached a backend server, including those in progress.
+int possibleArrivals(const AttemptPlan &plan);
+
 /// @brief Counts a new attempt, and takes the token of a retry. A retry for which no backend server is left takes none.
 void countAttempt(AttemptPlan &plan);
 
--- a/src/agatedoor/proxy/caller/forward.cpp
+++ b/src/agatedoor/proxy/caller/forward.cpp
@@ -31,7 +31,7 @@
     RequestContext &context = plan.context;
     while (const BackendEntry *entry = nextBackend(plan)) {
         countAttempt(plan);
-        AttemptResult result = co_await runAttempt(context, *entry, plan.repeat, ConnectionChoice::Any);
+        AttemptResult result = co_await runAttempt(context, *entry, {.repeat = plan.repeat});
         applyResult(context, std::move(result), context.attempts == 1);
         if (!decideNextAttempt(plan)) {
             co_return;
@@ -39,31 +39,30 @@
     }
 }
 
-/// When to start a hedge unless an answer arrives before; none when the request may not be hedged.
+/// The next hedge, started unless an answer arrives before; none when the request may not be hedged.
 /// @param hedged a hedge was due already, whether it was started or not
-std::optional<Deadline> hedgeTimeOf(const AttemptPlan &plan, bool hedged)
+std::optional<PlannedHedge> nextHedge(const AttemptPlan &plan, bool hedged)
 {
     const RequestContext &context = plan.context;
     HedgeContext view;
     view.idempotent = context.route->idempotent && context.bundle->bundle.budgets.hedges;
     view.repeat = plan.arrivedAsRepeat;
-    view.attempts = context.attempts;
+    view.attempts = possibleArrivals(plan);
     view.hedged = hedged;
     view.startedAt = Clock::now();
     view.deadline = context.deadline;
-    const auto tail = context.worker.tails.find(context.service->name);
-    view.tail = tail == context.worker.tails.end() ? Duration::zero() : tail->second.value;
+    view.tail = tailOf(context.worker.responseTimes, context.route->key);
     HedgeOptions options;
     options.maxAttempts = std::min(options.maxAttempts, context.route->maxAttempts);
-    return hedgeTime(view, options);
+    return planHedge(view, options);
 }
 
 /// Starts a hedge on another backend server. When there is no other, hedges over a fresh connection to the same remote
 /// backend server. Starts none when there is no such backend server or no token; both may have changed when it is tried again.
-void startHedge(AttemptPlan &plan, ParallelAttempts &attempts)
+void startHedge(AttemptPlan &plan, ParallelAttempts &attempts, const PlannedHedge &hedge)
 {
     RequestContext &context = plan.context;
-    if (!hasToken(plan.tokens, plan.budget)) {
+    if (!mayHedge(plan.tokens, plan.budget, hedge.optional)) {
         ++context.worker.metrics.retriesOverBudget;
         return;
     }
@@ -76,12 +75,25 @@
     countAttempt(plan);
     ++context.worker.metrics.hedges;
     const BackendEntry &entry = other == nullptr ? slow : *other;
-    attempts.start(runAttempt(context, entry, true, other == nullptr ? ConnectionChoice::Fresh : ConnectionChoice::Any), entry);
+    const auto connection = other == nullptr ? ConnectionChoice::Fresh : ConnectionChoice::Any;
+    attempts.start(runAttempt(context, entry, {.repeat = true, .spareOnly = hedge.optional, .connection = connection}), entry);
 }
 
-void recordTailLatency(RequestContext &context, const RunningAttempt &attempt)
+/// Takes back a hedge that was refused while other attempts go on: it reached no backend server.
+void recordRefusedHedge(AttemptPlan &plan, const AttemptResult &result)
 {
-    recordSample(context.worker.tails[context.service->name], QuantileOptions{}, Clock::now() - attempt.startedAt);
+    const bool refusedForLoad = refusedByOwnerForLoad(result.outcome, result.reason);
+    const bool refusedFreely = needsNoRetryToken(result.outcome, result.reason);
+    plan.loadRefusals += refusedForLoad ? 1 : 0;
+    plan.freeRefusals += refusedFreely ? 1 : 0;
+    if (refusedForLoad || refusedFreely) {
+        returnToken(plan.tokens, plan.budget);
+    }
+}
+
+void recordResponseTime(RequestContext &context, const RunningAttempt &attempt)
+{
+    recordResponseTime(context.worker.responseTimes, context.route->key, Clock::now() - attempt.startedAt);
 }
 
 /// Raises the backend server's service time to the time waited for a cancelled attempt. Such an attempt brings no load
@@ -99,10 +111,10 @@
 asio::awaitable<void> cancelOthers(RequestContext &context, ParallelAttempts &attempts, const RunningAttempt &winner)
 {
     context.servedBy = winner.entry->backend;
-    recordTailLatency(context, winner);
+    recordResponseTime(context, winner);
     for (const auto &attempt : attempts.all()) {
         if (!attempt->done) {
-            recordTailLatency(context, *attempt);
+            recordResponseTime(context, *attempt);
             raiseServiceTime(*attempt);
         }
     }
@@ -114,15 +126,18 @@
 {
     RequestContext &context = plan.context;
     const bool first = context.attempts == 1;
-    std::optional<Deadline> hedge = hedgeTimeOf(plan, false);
+    std::optional<PlannedHedge> hedge = nextHedge(plan, false);
     bool concluded = !first;
     while (attempts.hasPending()) {
-        RunningAttempt *attempt = co_await attempts.next(hedge.value_or(never));
+        RunningAttempt *attempt = co_await attempts.next(hedge ? hedge->startAt : never);
         if (attempt == nullptr) {
-            startHedge(plan, attempts);
-            hedge = hedgeTimeOf(plan, true);
+            startHedge(plan, attempts, *hedge);
+            hedge = nextHedge(plan, true);
             continue;
         }
+        if (attempts.hasPending() && attempt != attempts.all().front().get()) {
+            recordRefusedHedge(plan, attempt->result);
+        }
         applyResult(context, std::move(attempt->result), !concluded);
         concluded = true;
         if (context.result.outcome == RunOutcome::Answered) {
@@ -142,7 +157,7 @@
     ParallelAttempts attempts(co_await asio::this_coro::executor);
     while (const BackendEntry *entry = nextBackend(plan)) {
         countAttempt(plan);
-        attempts.start(runAttempt(context, *entry, plan.repeat, ConnectionChoice::Any), *entry);
+        attempts.start(runAttempt(context, *entry, {.repeat = plan.repeat}), *entry);
         if (co_await awaitAnswer(plan, attempts) || !decideNextAttempt(plan)) {
             co_return;
         }
--- a/src/agatedoor/proxy/caller/run_attempt.cpp
+++ b/src/agatedoor/proxy/caller/run_attempt.cpp
@@ -51,7 +51,7 @@
 
 } // namespace
 
-asio::awaitable<AttemptResult> runAttempt(RequestContext &context, const BackendEntry &entry, bool repeat, ConnectionChoice choice)
+asio::awaitable<AttemptResult> runAttempt(RequestContext &context, const BackendEntry &entry, AttemptOptions options)
 {
     BackendRequest request;
     request.target = entry.backend;
@@ -60,9 +60,10 @@
     request.route = context.route->key;
     request.deadline = context.deadline;
     request.depth = context.depth;
-    request.holdUntil = context.holdUntil;
-    request.last = context.last;
-    request.repeat = repeat;
+    request.holdUntil = options.spareOnly ? Deadline{} : context.holdUntil;
+    request.last = context.last && !options.spareOnly;
+    request.repeat = options.repeat;
+    request.spareOnly = options.spareOnly;
     request.cancellation = &context.cancellation;
     CountedAttempt counted(entry);
     const bool isLocal = entry.node == context.worker.node.settings.node;
@@ -70,7 +71,7 @@
     if (isLocal) {
         result = co_await runLocally(context, request);
     } else {
-        result = co_await forwardToPeer(context.worker, entry, request, context.request, context.route->idempotent, choice);
+        result = co_await forwardToPeer(context.worker, entry, request, context.request, context.route->idempotent, options.connection);
     }
     const auto state = co_await asio::this_coro::cancellation_state;
     if (state.cancelled() == asio::cancellation_type::none && !context.cancellation.requested()) {
--- a/src/agatedoor/proxy/headers.hpp
+++ b/src/agatedoor/proxy/headers.hpp
@@ -27,6 +27,7 @@
 inline constexpr std::string_view hold
     = "Agatedoor-Hold-Us"; ///< Longest time that the request may wait while its VM is slow, microseconds; only between nodes.
 inline constexpr std::string_view last = "Agatedoor-Last"; ///< 1 when the sender has no other backend server to try; only between nodes.
+inline constexpr std::string_view spareOnly = "Agatedoor-Spare-Only"; ///< 1 when the request only takes a slot that is free; only between nodes.
 inline constexpr std::string_view load = "Agatedoor-Load"; ///< Load report, see loadText(); only between nodes.
 
 /// @brief Removes hop-by-hop fields and all Agatedoor- fields.
--- a/src/agatedoor/proxy/peer/peer_client.cpp
+++ b/src/agatedoor/proxy/peer/peer_client.cpp
@@ -36,6 +36,9 @@
     if (request.last) {
         outgoing.set(header::last, "1");
     }
+    if (request.spareOnly) {
+        outgoing.set(header::spareOnly, "1");
+    }
     if (!expired(request.holdUntil, now)) {
         outgoing.set(header::hold, std::to_string(inMicroseconds(remaining(request.holdUntil, now)).count()));
     }
--- a/src/agatedoor/proxy/peer/peer_server.cpp
+++ b/src/agatedoor/proxy/peer/peer_server.cpp
@@ -33,6 +33,7 @@
     request.deadline = deadlineAfter(now, header::timeLeft(fields).value_or(Duration::zero()));
     request.holdUntil = deadlineAfter(now, header::timeLeft(fields, header::hold, std::chrono::microseconds(1)).value_or(Duration::zero()));
     request.last = header::number(fields, header::last).value_or(0) != 0;
+    request.spareOnly = header::number(fields, header::spareOnly).value_or(0) != 0;
     request.depth = header::number(fields, header::depth).value_or(0);
     request.repeat = header::number(fields, header::repeat).value_or(0) != 0;
     return request;
--- a/src/agatedoor/proxy/worker.hpp
+++ b/src/agatedoor/proxy/worker.hpp
@@ -3,7 +3,7 @@
 #include "agatedoor/base/random.hpp"
 #include "agatedoor/control/node_state.hpp"
 #include "agatedoor/decide/candidate.hpp"
-#include "agatedoor/decide/quantile_estimate.hpp"
+#include "agatedoor/decide/response_times.hpp"
 #include "agatedoor/decide/retry_budget.hpp"
 #include "agatedoor/decide/traffic_budget.hpp"
 #include "connection_pool.hpp"
@@ -34,7 +34,7 @@
     std::vector<Candidate> candidates; ///< Reused buffer for routing decisions.
     TrafficBudget traffic; ///< This thread's share of the link budgets.
     std::unordered_map<ServiceName, RetryBudget> retryBudgets; ///< Per service, so that one service cannot spend the tokens that another has earned.
-    std::unordered_map<ServiceName, QuantileEstimate> tails; ///< High quantile of the response time, per service.
+    ResponseTimes responseTimes; ///< Of idempotent requests.
     std::unordered_map<ServiceName, std::int64_t> answerBytes; ///< Average response size in bytes, per service.
     Metrics metrics;
 };
--- a/src/agatedoor/state/gate.cpp
+++ b/src/agatedoor/state/gate.cpp
@@ -142,7 +142,7 @@
     if (!mean) {
         return;
     }
-    Duration &baseline = gate.queue.times.routes.at(served.route).baseline;
+    Duration &baseline = useRecord(gate.queue.times, served.route).baseline;
     const AdaptiveLimit adapted = adaptLimit({gate.queue.adaptiveLimit, baseline}, *mean, announced, AdaptiveLimitOptions{});
     gate.queue.adaptiveLimit = adapted.limit;
     baseline = adapted.baseline;
--- a/src/agatedoor/state/gate_test.cpp
+++ b/src/agatedoor/state/gate_test.cpp
@@ -147,6 +147,36 @@
 
 } // namespace
 
+/// Hedges beside requests that have no other attempt.
+TEST(Gate, ARequestThatMayNotWaitDisplacesNobody)
+{
+    Gate gate(Slots{1});
+    AdmissionRequest spare{PriorityClass::High, deadlineAfter(start, std::chrono::seconds(1))};
+    spare.mayWait = false;
+    const auto acquireSpare = [&] { return acquireSlot(gate, spare, AdmissionOptions{}, ticketWithoutWakeUp(), start); };
+    test::section("it takes a free slot", [&] {
+        EXPECT_EQ(acquireSpare().verdict, AdmissionVerdict::Run);
+        releaseSlot(gate, start);
+    });
+    test::section("it is refused when all are in use, and leaves the waiters alone", [&] {
+        EXPECT_EQ(requestSlot(gate, ticketWithoutWakeUp()).verdict, AdmissionVerdict::Run);
+        std::vector<std::shared_ptr<Ticket>> waiters;
+        for (int i = 0; i < 2; ++i) {
+            waiters.push_back(ticketWithoutWakeUp());
+            EXPECT_EQ(requestSlot(gate, waiters.back(), PriorityClass::Low).verdict, AdmissionVerdict::Wait);
+        }
+        EXPECT_EQ(acquireSpare().reason, Reason::NoFreeSlot);
+        EXPECT_EQ(gate.queued.load(), 2);
+        EXPECT_EQ(waiters.front()->state, TicketState::Waiting);
+        EXPECT_EQ(waiters.back()->state, TicketState::Waiting);
+    });
+    test::section("a freed slot goes to a waiter and not to it", [&] {
+        releaseSlot(gate, start);
+        EXPECT_EQ(acquireSpare().reason, Reason::NoFreeSlot);
+        EXPECT_EQ(gate.queued.load(), 1);
+    });
+}
+
 TEST(Gate, GrantsReleasedSlotsToWaiters)
 {
     Gate gate(Slots{1});
--- a/tests/process/hedge_test.cpp
+++ b/tests/process/hedge_test.cpp
@@ -209,16 +209,17 @@
     }
     section("the backend servers hang, and not every lookup finds a token for a hedge",
             [&] { EXPECT_TRUE(eventually([&] { return workerSum("retries_over_budget") > 0; })); });
-    section("they serve new requests again, which put tokens into the budget", [&] {
+    section("they serve new requests again, which put tokens into the budget as long as lookups may need one", [&] {
         for (const auto &backend : backendNames) {
             deployment.behave(backend, R"({"service_us":1000})");
         }
-        constexpr int quickLookups = 300;
+        constexpr int quickLookups = 1500;
         EXPECT_EQ(outcome(callMany("quick", quickLookups, 1000), "answered"), quickLookups);
     });
     section("every lookup is answered before its deadline", [&] {
-        for (auto &answer : held) {
-            EXPECT_EQ(answer.get().status, 200);
+        for (int i = 0; i < heldLookups; ++i) {
+            EXPECT_EQ(held.at(static_cast<std::size_t>(i)).get().status, 200)
+                << deployment.logLinesOf(idOf("held", i)) << json::serialize(deployment.dump("ingress").at("workers"));
         }
     });
 }
