Show that endless bytes of a node and an error in one connection harm no other

- EndlessBytes.OfANodeEndWithATruthfulAnswerAndHarmNoOther: what stands at the address of an owning node sends each of ten kinds of bytes without end, to a lookup and to a request that isn't idempotent.
Both get 502 to 504 in time, the connection is closed by us, memory stays within its bound, nothing ran twice, the neighbour is served.
It was not run on a spoiled program.
- Listener.AnErrorEndsOneConnectionOnly: the coroutine of a connection throws.
For it the wiring of node.cpp moved to servedOn() in listener.cpp, behaviour unchanged.

--- a/src/agatedoor/node/listener.cpp
+++ b/src/agatedoor/node/listener.cpp
@@ -2,8 +2,11 @@
 
 #include "agatedoor/wire/log.hpp"
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <utility>
+
 namespace agatedoor {
 
 namespace {
@@ -12,6 +15,12 @@
 
 } // namespace
 
+ConnectionTarget servedOn(asio::io_context &loop, std::function<asio::awaitable<void>(tcp::socket)> serve)
+{
+    auto start = [&loop, serve = std::move(serve)](tcp::socket socket) { asio::co_spawn(loop, serve(std::move(socket)), logFailures("connection-failed")); };
+    return {&loop, std::move(start)};
+}
+
 std::optional<tcp::acceptor> listen(asio::io_context &context, const Endpoint &endpoint)
 {
     error_code error;
--- a/src/agatedoor/node/listener.hpp
+++ b/src/agatedoor/node/listener.hpp
@@ -16,6 +16,10 @@
     std::function<void(tcp::socket)> serve;
 };
 
+/// @brief Target that runs @p serve for each connection as a coroutine of @p loop. An error that leaves the coroutine is logged and ends that
+/// connection only.
+ConnectionTarget servedOn(asio::io_context &loop, std::function<asio::awaitable<void>(tcp::socket)> serve);
+
 /// @brief A listening socket and what becomes of its connections. Used by one thread.
 struct Listener
 {
--- a/src/agatedoor/node/listener_test.cpp
+++ b/src/agatedoor/node/listener_test.cpp
@@ -5,10 +5,14 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
 #include <gtest/gtest.h>
 
+#include <optional>
+#include <stdexcept>
+#include <thread>
 #include <vector>
 
 namespace agatedoor {
@@ -42,8 +46,51 @@
     return caller;
 }
 
+/// Answers each byte, but fails with an exception at a byte that it doesn't expect.
+asio::awaitable<void> answerOrThrow(tcp::socket socket)
+{
+    char byte = 0;
+    co_await asio::async_read(socket, asio::buffer(&byte, 1), asio::use_awaitable);
+    if (byte != 'x') {
+        throw std::runtime_error("unexpected byte");
+    }
+    co_await asio::async_write(socket, asio::buffer("y", 1), asio::use_awaitable);
+}
+
+/// What comes back over a new connection on which @p byte was sent; none when it was closed without an answer.
+std::optional<char> answerTo(asio::io_context &served, const tcp::endpoint &address, char byte)
+{
+    asio::io_context context;
+    tcp::socket caller(context);
+    caller.connect(address);
+    asio::write(caller, asio::buffer(&byte, 1));
+    std::optional<char> answer;
+    std::thread reader([&] {
+        error_code error;
+        char read = 0;
+        asio::read(caller, asio::buffer(&read, 1), error);
+        answer = error ? std::nullopt : std::optional(read);
+        served.stop();
+    });
+    served.restart();
+    served.run();
+    reader.join();
+    return answer;
+}
+
 } // namespace
 
+TEST(Listener, AnErrorEndsOneConnectionOnly)
+{
+    asio::io_context context;
+    Listener listener{tcp::acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)), [&context] { return servedOn(context, answerOrThrow); }};
+    asio::co_spawn(context, acceptLoop(listener), asio::detached);
+    const tcp::endpoint address = listener.acceptor.local_endpoint();
+    section("a connection is served", [&] { EXPECT_EQ(answerTo(context, address, 'x'), 'y'); });
+    section("one that throws is closed", [&] { EXPECT_EQ(answerTo(context, address, '?'), std::nullopt); });
+    section("and the next one is served", [&] { EXPECT_EQ(answerTo(context, address, 'x'), 'y'); });
+}
+
 TEST(Listener, AcceptsWhatItsQueueHoldsBeforeItCloses)
 {
     KeptConnections node;
--- a/src/agatedoor/node/node.cpp
+++ b/src/agatedoor/node/node.cpp
@@ -48,9 +48,7 @@
 {
     const auto nextTarget = [&workers, serve, turn = std::size_t{0}]() mutable {
         Worker &worker = *workers[turn++ % workers.size()];
-        const auto start
-            = [&worker, serve](tcp::socket socket) { asio::co_spawn(worker.context, serve(worker, std::move(socket)), logFailures("connection-failed")); };
-        return ConnectionTarget{&worker.context, start};
+        return servedOn(worker.context, [&worker, serve](tcp::socket socket) { return serve(worker, std::move(socket)); });
     };
     return {std::move(acceptor), nextTarget};
 }
--- a/tests/process/endless_bytes_test.cpp
+++ b/tests/process/endless_bytes_test.cpp
@@ -158,6 +158,39 @@
     EXPECT_TRUE(neighbourServes());
 }
 
+/// What stands at the address of the owning node sends bytes without end to the node that hands requests over.
+TEST_F(EndlessBytes, OfANodeEndWithATruthfulAnswerAndHarmNoOther)
+{
+    deployment.startNode({"damaged", "sv-uppsala", "svealand", true});
+    deployment.startBackend({"drawings", "damaged", "ritarkiv"});
+    deployment.startBackend({"signoffs", "damaged", "besiktning"});
+    deployment.waitUntilReady(3);
+    deployment.killRelay("damaged");
+    for (const auto &endless : endlessAnswers()) {
+        section(endless.name, [&] {
+            const RawBackend damaged(deployment.relayedPeers("damaged"), [&](std::size_t part) {
+                std::this_thread::sleep_for(endless.pause);
+                return part == 0 && !endless.start.empty() ? endless.start : endless.again;
+            });
+            for (const auto &[method, target] : {std::pair{"GET", "/ritarkiv"}, std::pair{"POST", "/besiktning"}}) {
+                const auto before = peakMemoryKb(deployment.node("ingress").pid());
+                const TimePoint asked = Clock::now();
+                const auto reply = ask(deployment.callers("ingress"), {method, target, {{"Agatedoor-Timeout-Us", "1000000"}}, {}});
+                EXPECT_LT(Clock::now() - asked, 1s + slack) << method;
+                EXPECT_TRUE(reply.status >= 502 && reply.status <= 504) << method << " " << reply.status << reply.body;
+                EXPECT_LE(damaged.mostSentBytes(), endless.bound + socketBufferBytes()) << method;
+                EXPECT_LE(peakMemoryKb(deployment.node("ingress").pid()) - before, memoryBoundKb) << method;
+            }
+            EXPECT_TRUE(eventually([&] { return damaged.closedByOther() > 0; }));
+            EXPECT_TRUE(neighbourServes());
+        });
+    }
+    section("nothing that isn't idempotent ran, and the node is the same process as before", [&] {
+        EXPECT_TRUE(deployment.runs("signoffs").empty());
+        EXPECT_FALSE(deployment.node("ingress").waitForExit(0ms));
+    });
+}
+
 TEST_F(EndlessBytes, OfACallerAreRefusedAndHarmNoOther)
 {
     const std::string x(partBytes, 'x');
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -117,6 +117,11 @@
     return {address(node), 8083};
 }
 
+Endpoint Deployment::relayedPeers(const std::string &node) const
+{
+    return {address(node), relayedPeersPort};
+}
+
 Endpoint Deployment::peers(const std::string &node) const
 {
     return {address(node), 8081};
@@ -157,7 +162,7 @@
     const int next = static_cast<int>(m_numbers.size()) + 1;
     m_numbers.emplace(place.name, next);
     if (place.relayed && !m_relays.contains(place.name)) {
-        startRelay(place.name, {address(place.name), relayedPeersPort}, peers(place.name));
+        startRelay(place.name, relayedPeers(place.name), peers(place.name));
     }
     std::string seeds;
     for (const auto &seed : place.seeds) {
--- a/tests/support/deployment.hpp
+++ b/tests/support/deployment.hpp
@@ -69,12 +69,16 @@
     Process &backend(const std::string &name) { return *m_backends.at(name); }
     Process &store() { return *m_store; }
     void kill(const std::string &node) { m_nodes.erase(node); }
+    /// @brief Ends a relay, so that a test can listen at its address.
+    void killRelay(const std::string &name) { m_relays.erase(name); }
     void killBackend(const std::string &backend) { m_backends.erase(backend); }
 
     std::string storeAddress() const;
     Endpoint callers(const std::string &node) const;
     Endpoint backendsOf(const std::string &node) const;
     Endpoint peers(const std::string &node) const;
+    /// @brief Address of a relayed node's relay, where other nodes hand over requests.
+    Endpoint relayedPeers(const std::string &node) const;
     Endpoint gossip(const std::string &node) const;
     Endpoint admin(const std::string &node) const;
     Endpoint backendAddress(const std::string &backend) const;
