Log from where a node gets a configuration, whom it asks, and what the store's replies hold

The logs told that a generation came in force, but not from the store or from which peer, how long the node had known of it, whom it had asked, whether a peer left the request unanswered for its budget, or how many versions one reply of the store held.

New lines: bundle-requested, bundle-reply, head-watch, head-changed; bundle-in-force tells source, peer, bytes and behind_us. BundleFetch keeps since when the node has been behind; decisions are as before.

--- a/include/agatedoor/release/bundle_fetch.hpp
+++ b/include/agatedoor/release/bundle_fetch.hpp
@@ -10,6 +10,7 @@
 struct BundleFetch
 {
     Generation wanted;
+    TimePoint behindSince; ///< When a peer first announced a newer generation than the one in force.
     Deadline otherRegionsFrom{TimePoint::min()}; ///< From this time on, peers in other regions may be asked too.
     Deadline nextRequest{TimePoint::min()}; ///< No further request is sent before this time.
 };
--- a/src/agatedoor/control/bundle_log.cpp
+++ b/src/agatedoor/control/bundle_log.cpp
@@ -17,18 +17,42 @@
     return std::string(wireName(std::get<ConfigError>(error).kind));
 }
 
+std::int64_t number(Generation generation)
+{
+    return static_cast<std::int64_t>(generation.value);
+}
+
 } // namespace
 
-void logBundleResult(const HeadRecord &head, const Result<Generation, ApplyError> &applied)
+void logBundleResult(const HeadRecord &head, const BundleOrigin &origin, const Result<Generation, ApplyError> &applied)
 {
-    const auto generation = static_cast<std::int64_t>(head.generation.value);
     if (applied) {
-        logLine(LogLevel::Info, "bundle-in-force", {{"generation", generation}, {"digest", head.digest.value}});
+        logLine(LogLevel::Info, "bundle-in-force",
+                {{"generation", number(head.generation)},
+                 {"digest", head.digest.value},
+                 {"source", std::string(origin.peer.value.empty() ? "store" : "peer")},
+                 {"peer", origin.peer.value},
+                 {"bytes", static_cast<std::int64_t>(origin.bytes)},
+                 {"behind_us", static_cast<std::int64_t>(inMicroseconds(origin.behind).count())}});
         return;
     }
     const bool stale = std::holds_alternative<StaleGeneration>(applied.error());
     logLine(stale ? LogLevel::Debug : LogLevel::Error, "bundle-refused",
-            {{"generation", generation}, {"digest", head.digest.value}, {"error", errorName(applied.error())}});
+            {{"generation", number(head.generation)}, {"digest", head.digest.value}, {"error", errorName(applied.error())}});
+}
+
+void logBundleRequest(Generation announced, const NodeId &peer, bool sameRegion)
+{
+    logLine(LogLevel::Info, "bundle-requested", {{"generation", number(announced)}, {"peer", peer.value}, {"same_region", sameRegion}});
+}
+
+void logBundleReply(Generation inForce, const NodeId &peer, std::size_t bytes, bool sent)
+{
+    logLine(LogLevel::Info, "bundle-reply",
+            {{"generation", number(inForce)},
+             {"peer", peer.value},
+             {"bytes", static_cast<std::int64_t>(bytes)},
+             {"outcome", std::string(sent ? "sent" : "over-budget")}});
 }
 
 } // namespace agatedoor
--- a/src/agatedoor/control/peer_sync.cpp
+++ b/src/agatedoor/control/peer_sync.cpp
@@ -238,6 +238,7 @@
     request.region = m_membership.self.region;
     request.replyTo = m_membership.self.gossip;
     request.generation = inForce;
+    logBundleRequest(message.generation, message.from, sameRegion);
     m_transport->send(message.replyTo, encodePeerMessage(request));
 }
 
@@ -256,7 +257,9 @@
     reply.head = bundle->head;
     reply.text = bundle->text;
     std::string bytes = encodePeerMessage(reply);
-    if (!take(m_bundleBudget, bundleBudget, static_cast<double>(bytes.size()), now)) {
+    const bool sent = take(m_bundleBudget, bundleBudget, static_cast<double>(bytes.size()), now);
+    logBundleReply(reply.generation, request.from, bytes.size(), sent);
+    if (!sent) {
         return;
     }
     m_stats.bundleBytes += bytes.size();
@@ -269,7 +272,7 @@
         return;
     }
     const auto applied = m_node.bundles.apply(reply.head, reply.text);
-    logBundleResult(reply.head, applied);
+    logBundleResult(reply.head, {reply.from, reply.text.size(), now - m_fetch.behindSince}, applied);
     if (applied) {
         ++m_stats.bundlesFetched;
         return;
--- a/src/agatedoor/control/store_sync.cpp
+++ b/src/agatedoor/control/store_sync.cpp
@@ -50,6 +50,16 @@
     return state;
 }
 
+/// The reply to a watch holds each change with its whole value, so that one which comes late is large.
+void logHeadChanges(const WatchReply &reply)
+{
+    std::int64_t bytes = 0;
+    for (const auto &event : reply.events) {
+        bytes += static_cast<std::int64_t>(event.value.value.size());
+    }
+    logLine(LogLevel::Info, "head-changed", {{"changes", static_cast<std::int64_t>(reply.events.size())}, {"bytes", bytes}, {"revision", reply.revision}});
+}
+
 constexpr std::array callNames{
     std::pair{StoreCall::ReadContacts, std::string_view{"read-contacts"}}, std::pair{StoreCall::GrantLease, std::string_view{"grant-lease"}},
     std::pair{StoreCall::PutContact, std::string_view{"put-contact"}},     std::pair{StoreCall::KeepLease, std::string_view{"keep-lease"}},
@@ -300,7 +310,10 @@
 Duration StoreSync::headRound()
 {
     const HeadAction action = dueHeadAction();
-    m_watcher = action == HeadAction::Watch;
+    const bool watching = action == HeadAction::Watch;
+    if (m_watcher.exchange(watching) != watching) {
+        logLine(LogLevel::Info, "head-watch", {{"outcome", std::string(watching ? "begun" : "ended")}});
+    }
     m_headRevision = m_watcher ? m_headRevision : 0;
     if (action == HeadAction::None) {
         return m_headWatch.joined && hasBundle() ? followPeersInterval : waitForBundleInterval;
@@ -352,6 +365,9 @@
     }
     m_headRevision = std::max(m_headRevision, reply.value().revision);
     m_headChanged = !reply.value().events.empty();
+    if (m_headChanged) {
+        logHeadChanges(reply.value());
+    }
     return applyNewestHead(reply.value().events);
 }
 
@@ -389,7 +405,7 @@
         return false;
     }
     const auto applied = m_node.bundles.apply(*head, text.value());
-    logBundleResult(*head, applied);
+    logBundleResult(*head, {{}, bytes.size(), {}}, applied);
     m_peers.notifyGenerationChanged();
     return applied.has_value() || std::holds_alternative<StaleGeneration>(applied.error());
 }
--- a/src/agatedoor/release/bundle_fetch.cpp
+++ b/src/agatedoor/release/bundle_fetch.cpp
@@ -16,7 +16,9 @@
         return false;
     }
     if (announced.generation > fetch.wanted) {
-        fetch = {announced.generation, deadlineAfter(now, otherRegionDelay), {TimePoint::min()}};
+        const bool behindAlready = fetch.wanted > inForce;
+        const TimePoint behindSince = behindAlready ? fetch.behindSince : now;
+        fetch = {announced.generation, behindSince, deadlineAfter(now, otherRegionDelay), {TimePoint::min()}};
     }
     const bool allowed = announced.sameRegion || announced.representative || expired(fetch.otherRegionsFrom, now);
     if (!allowed || !expired(fetch.nextRequest, now)) {
--- a/tests/process/session_test.cpp
+++ b/tests/process/session_test.cpp
@@ -13,7 +13,7 @@
 namespace json = boost::json;
 
 /// Fields of log lines that differ from run to run.
-constexpr std::array volatileFields{"time", "body_us", "took_us", "incarnation"};
+constexpr std::array volatileFields{"time", "body_us", "took_us", "behind_us", "incarnation"};
 
 std::string scrubbedLog(const std::string &log)
 {
@@ -88,6 +88,7 @@
     std::string digest;
     deployment.startStore();
     deployment.startNode({"node1", "sv-uppsala", "svealand"});
+    expectLogged(deployment, "head-watch", 1);
     const HttpRequest lookup{"GET", "/ritarkiv/drawing/7", {{"Agatedoor-Request-Id", "lookup-7"}}, {}};
     const HttpRequest signOffRequest{"POST", "/besiktning/sign-off", {{"Agatedoor-Request-Id", "sign-off-1"}}, "approved"};
 
