--- a/src/agatedoor/control/peer_sync.cpp
+++ b/src/agatedoor/control/peer_sync.cpp
@@ -13,9 +13,6 @@
 constexpr std::chrono::milliseconds tickInterval{50};
 constexpr std::size_t inboxLimit = 4096; ///< Messages; when full, the oldest is dropped.
 constexpr std::chrono::milliseconds leaveFlushTimeout{300}; ///< Longest wait for the leave messages to be sent.
-constexpr std::size_t representativesPerRegion = 2; ///< Nodes of a region that ask other regions for a bundle without waiting first.
-/// Bytes per second and burst. Bundles are few and large, so they have a budget separate from that of other messages.
-constexpr TokenBucketOptions bundleBudget{2'000'000, 4'000'000};
 
 /// Logs that a member was lost or came back. Members seen for the first time are not logged here; their number is part of the
 /// "joined" line.
@@ -46,7 +43,7 @@
 PeerSync::PeerSync(NodeState &node)
     : m_node(node)
     , m_membership(startMembership({}, currentRecord(), Clock::now()))
-    , m_bundleBudget(fullBucket(bundleBudget, Clock::now()))
+    , m_exchange(startBundleExchange({}, Clock::now()))
 {
     agatedoor::addContacts(m_membership, node.settings.seeds);
 }
@@ -207,63 +204,28 @@
     requestNewerBundle(*message, now);
 }
 
-/// Whether this node is one of those that ask other regions for a new bundle at once. All nodes with the same view of the region
-/// choose the same ones.
-bool PeerSync::isBundleRepresentative() const
-{
-    std::vector<NodeId> candidates;
-    for (const auto &[node, entry] : m_membership.table.members) {
-        if (present(entry.status) && entry.record.region == m_membership.self.region) {
-            candidates.push_back(node);
-        }
-    }
-    const auto chosen = rendezvous(candidates, "bundle", representativesPerRegion);
-    return std::find(chosen.begin(), chosen.end(), m_membership.self.node) != chosen.end();
-}
-
 /// Requests the bundle from the sender of @p message when the sender has a newer generation.
 void PeerSync::requestNewerBundle(const PeerMessage &message, TimePoint now)
 {
-    const Generation inForce = m_node.bundles.current()->head.generation;
-    if (message.generation <= inForce) {
-        return;
+    const auto request = requestBundle(m_exchange, message, *m_node.bundles.current(), m_membership, now);
+    if (request) {
+        logBundleRequest(message.generation, message.from, message.region == m_membership.self.region);
+        m_transport->send(message.replyTo, encodePeerMessage(*request));
     }
-    const bool sameRegion = message.region == m_membership.self.region;
-    if (!shouldFetch(m_fetch, {message.generation, sameRegion, !sameRegion && isBundleRepresentative()}, inForce, now)) {
-        return;
-    }
-    PeerMessage request;
-    request.kind = PeerMessageKind::BundleRequest;
-    request.from = m_membership.self.node;
-    request.region = m_membership.self.region;
-    request.replyTo = m_membership.self.gossip;
-    request.generation = inForce;
-    logBundleRequest(message.generation, message.from, sameRegion);
-    m_transport->send(message.replyTo, encodePeerMessage(request));
 }
 
 void PeerSync::sendBundle(const PeerMessage &request, TimePoint now)
 {
-    const auto bundle = m_node.bundles.current();
-    if (bundle->head.generation <= request.generation) {
+    const auto inForce = m_node.bundles.current();
+    auto answer = answerBundleRequest(m_exchange, request, *inForce, m_membership.self, now);
+    if (!answer) {
         return;
     }
-    PeerMessage reply;
-    reply.kind = PeerMessageKind::BundleReply;
-    reply.from = m_membership.self.node;
-    reply.region = m_membership.self.region;
-    reply.replyTo = m_membership.self.gossip;
-    reply.generation = bundle->head.generation;
-    reply.head = bundle->head;
-    reply.text = bundle->text;
-    std::string bytes = encodePeerMessage(reply);
-    const bool sent = take(m_bundleBudget, bundleBudget, static_cast<double>(bytes.size()), now);
-    logBundleReply(reply.generation, request.from, bytes.size(), sent);
-    if (!sent) {
-        return;
+    logBundleReply(inForce->head.generation, request.from, answer->bytes.size(), answer->withinBudget);
+    if (answer->withinBudget) {
+        m_stats.bundleBytes += answer->bytes.size();
+        m_transport->send(request.replyTo, std::move(answer->bytes));
     }
-    m_stats.bundleBytes += bytes.size();
-    m_transport->send(request.replyTo, std::move(bytes));
 }
 
 void PeerSync::applyBundleReply(const PeerMessage &reply, TimePoint now)
@@ -272,13 +234,13 @@
         return;
     }
     const auto applied = m_node.bundles.apply(reply.head, reply.text);
-    logBundleResult(reply.head, {reply.from, reply.text.size(), now - m_fetch.behindSince}, applied);
+    logBundleResult(reply.head, {reply.from, reply.text.size(), now - m_exchange.fetch.behindSince}, applied);
     if (applied) {
         ++m_stats.bundlesFetched;
         return;
     }
     ++m_stats.bundlesRefused;
-    recordRefusal(m_fetch, now);
+    recordRefusal(m_exchange.fetch, now);
 }
 
 void PeerSync::announceNewGeneration(TimePoint now)
--- a/src/agatedoor/control/peer_sync.hpp
+++ b/src/agatedoor/control/peer_sync.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "agatedoor/membership/membership.hpp"
-#include "agatedoor/release/bundle_fetch.hpp"
+#include "agatedoor/membership/bundle_exchange.hpp"
 #include "agatedoor/wire/peer_transport.hpp"
 #include "node_state.hpp"
 
@@ -77,7 +76,6 @@
     void publishView(TimePoint now);
     void logMemberChanges();
     MemberRecord currentRecord() const;
-    bool isBundleRepresentative() const;
 
     NodeState &m_node;
     std::unique_ptr<PeerTransport> m_transport;
@@ -85,8 +83,7 @@
     mutable std::mutex m_stateMutex; ///< Guards the membership and the statistics, which other threads read.
     Membership m_membership;
     PeerSyncStats m_stats;
-    BundleFetch m_fetch;
-    TokenBucket m_bundleBudget;
+    BundleExchange m_exchange;
     bool m_viewChanged = true;
     std::map<NodeId, MemberStatus> m_loggedStatuses; ///< Status of each member as last logged.
     bool m_joinLogged = false;
--- /dev/null
+++ b/src/agatedoor/membership/bundle_exchange.cpp
@@ -0,0 +1,75 @@
+#include "agatedoor/membership/bundle_exchange.hpp"
+
+#include <algorithm>
+
+namespace agatedoor {
+
+namespace {
+
+PeerMessage messageFrom(const MemberRecord &self, PeerMessageKind kind)
+{
+    PeerMessage message;
+    message.kind = kind;
+    message.from = self.node;
+    message.region = self.region;
+    message.replyTo = self.gossip;
+    return message;
+}
+
+/// Whether this node is one of those that ask other regions for a new bundle at once. All nodes with the same view of the region
+/// choose the same ones.
+bool isRepresentative(const Membership &membership, std::size_t representatives)
+{
+    std::vector<NodeId> candidates;
+    for (const auto &[node, entry] : membership.table.members) {
+        if (present(entry.status) && entry.record.region == membership.self.region) {
+            candidates.push_back(node);
+        }
+    }
+    const auto chosen = rendezvous(candidates, "bundle", representatives);
+    return std::find(chosen.begin(), chosen.end(), membership.self.node) != chosen.end();
+}
+
+} // namespace
+
+BundleExchange startBundleExchange(const BundleExchangeOptions &options, TimePoint now)
+{
+    BundleExchange exchange;
+    exchange.options = options;
+    exchange.budget = fullBucket(options.budget, now);
+    return exchange;
+}
+
+std::optional<PeerMessage> requestBundle(BundleExchange &exchange, const PeerMessage &announcement, const BundleInForce &inForce, const Membership &membership,
+                                         TimePoint now)
+{
+    const Generation held = inForce.head.generation;
+    if (announcement.generation <= held) {
+        return std::nullopt;
+    }
+    const bool sameRegion = announcement.region == membership.self.region;
+    const bool representative = !sameRegion && isRepresentative(membership, exchange.options.representativesPerRegion);
+    if (!shouldFetch(exchange.fetch, {announcement.generation, sameRegion, representative}, held, now)) {
+        return std::nullopt;
+    }
+    PeerMessage request = messageFrom(membership.self, PeerMessageKind::BundleRequest);
+    request.generation = held;
+    return request;
+}
+
+std::optional<BundleAnswer> answerBundleRequest(BundleExchange &exchange, const PeerMessage &request, const BundleInForce &inForce, const MemberRecord &self,
+                                                TimePoint now)
+{
+    if (inForce.head.generation <= request.generation) {
+        return std::nullopt;
+    }
+    PeerMessage reply = messageFrom(self, PeerMessageKind::BundleReply);
+    reply.generation = inForce.head.generation;
+    reply.head = inForce.head;
+    reply.text = inForce.text;
+    BundleAnswer answer{encodePeerMessage(reply)};
+    answer.withinBudget = take(exchange.budget, exchange.options.budget, static_cast<double>(answer.bytes.size()), now);
+    return answer;
+}
+
+} // namespace agatedoor
--- a/src/agatedoor/membership/fake_fleet.hpp
+++ b/src/agatedoor/membership/fake_fleet.hpp
@@ -16,6 +16,8 @@
     std::uint64_t bytes = 0;
     std::uint64_t messages = 0;
     std::vector<Departure> departures{}; ///< Departures of its earlier processes that it received.
+    TimePoint sendsFrom{}; ///< Its link is busy with sending until then.
+    TimePoint receivesFrom{}; ///< Its link is busy with receiving until then.
 };
 
 class FakeFleet
@@ -31,7 +33,10 @@
     double loss = 0; ///< Fraction of messages lost at random.
     bool silentRestarts = false; ///< Connections to an ended process lose messages silently and are never reset, as after a power loss.
     Duration delay = std::chrono::milliseconds(2);
+    double linkBytesPerSecond = 0; ///< Of each node and direction; messages use the link one after the other. 0: no limit.
     std::function<void(const MemberRecord &, const PeerMessage &)> observe = [](const auto &, const auto &) {};
+    /// Further messages that a node sends when it has received one.
+    std::function<std::vector<Outgoing>(FakeNode &, const PeerMessage &)> answer = [](auto &, const auto &) { return std::vector<Outgoing>{}; };
 
     void start(const std::string &name, const std::string &zone, const std::string &region, const std::string &service, const std::string &contact = {},
                std::optional<Incarnation> incarnation = {})
@@ -146,15 +151,18 @@
                                                       [&name](const auto &connection) { return connection.first.second == name && connection.second == 0; }));
     }
 
+    void send(const std::string &from, const MembershipOutput &output) { send(nodes.at(from), output); }
+
+    Random &random() { return m_random; }
+
     static Endpoint addressOf(const std::string &name) { return {name, 1}; }
 
     MembershipOptions options;
     std::map<std::string, FakeNode> nodes;
     TimePoint now{std::chrono::hours(24)};
+    Duration step = std::chrono::milliseconds(50); ///< Messages are handled, and time passes, in steps of this length.
 
 private:
-    static constexpr std::chrono::milliseconds step{50};
-
     struct InFlight
     {
         std::string to;
@@ -169,6 +177,17 @@
         return !silentRestarts || connection->second == incarnation;
     }
 
+    /// Uses a link for @p bytes from @p earliest on, after what it is busy with. Returns when it is done.
+    TimePoint occupy(TimePoint &busyUntil, TimePoint earliest, std::size_t bytes) const
+    {
+        if (linkBytesPerSecond <= 0) {
+            return earliest;
+        }
+        const std::chrono::duration<double> time(static_cast<double>(bytes) / linkBytesPerSecond);
+        busyUntil = std::max(busyUntil, earliest) + std::chrono::duration_cast<Duration>(time);
+        return busyUntil;
+    }
+
     void send(FakeNode &from, const MembershipOutput &output)
     {
         from.departures.insert(from.departures.end(), output.departures.begin(), output.departures.end());
@@ -182,7 +201,9 @@
             const bool passes = to != nodes.end() && connectionReaches(from, outgoing.to.address, to->second)
                 && link(from.membership.self, to->second.membership.self) && uniformUnit(m_random) >= loss;
             if (passes) {
-                m_wire.emplace(now + delay, InFlight{outgoing.to.address, outgoing.bytes});
+                const TimePoint sent = occupy(from.sendsFrom, now, outgoing.bytes.size());
+                const TimePoint arrives = occupy(to->second.receivesFrom, sent + delay, outgoing.bytes.size());
+                m_wire.emplace(arrives, InFlight{outgoing.to.address, outgoing.bytes});
             }
         }
     }
@@ -201,6 +222,9 @@
             if (node.running && message) {
                 observe(node.membership.self, *message);
                 send(node, receive(node.membership, *message, now, m_random));
+                MembershipOutput further;
+                further.messages = answer(node, *message);
+                send(node, further);
             }
         }
     }
