Let a node that is behind ask other regions although newer changes keep coming

Cause: a node waits 1.5 s before it asks another region, so that its own region's two representatives fetch for all; each newer generation began that wait anew. With a change every 0.7 s it never ended, so while the representatives and the peers that have the bundle are frozen or cut off, nobody else asked. The class: a time limit that every event of a stream restarts.

Change: the wait counts from when the node was first behind. BundleFetch.NewerGenerationsDontProlongTheWaitForOtherRegions failed before (no request 2.1 s after the first change) and passes now. Looked for the same elsewhere: the wait before the next request to a peer also restarts with a newer generation, but there it only lets the node ask sooner.

--- a/src/agatedoor/release/bundle_fetch.cpp
+++ b/src/agatedoor/release/bundle_fetch.cpp
@@ -18,7 +18,7 @@
     if (announced.generation > fetch.wanted) {
         const bool behindAlready = fetch.wanted > inForce;
         const TimePoint behindSince = behindAlready ? fetch.behindSince : now;
-        fetch = {announced.generation, behindSince, deadlineAfter(now, otherRegionDelay), {TimePoint::min()}};
+        fetch = {announced.generation, behindSince, deadlineAfter(behindSince, otherRegionDelay), {TimePoint::min()}};
     }
     const bool allowed = announced.sameRegion || announced.representative || expired(fetch.otherRegionsFrom, now);
     if (!allowed || !expired(fetch.nextRequest, now)) {
--- a/src/agatedoor/release/bundle_fetch_test.cpp
+++ b/src/agatedoor/release/bundle_fetch_test.cpp
@@ -36,6 +36,25 @@
     });
 }
 
+/// Guards against a storm of changes that keeps a node from ever asking another region: its own region has nothing to offer.
+TEST(BundleFetch, NewerGenerationsDontProlongTheWaitForOtherRegions)
+{
+    const TimePoint start{std::chrono::hours(1)};
+    const auto after = [start](int milliseconds) { return start + std::chrono::milliseconds(milliseconds); };
+    BundleFetch fetch;
+    const Generation inForce{4};
+    test::section("one change every 0.7 s, each announced by another region only", [&] {
+        EXPECT_FALSE(shouldFetch(fetch, {{5}, false, false}, inForce, after(0)));
+        EXPECT_FALSE(shouldFetch(fetch, {{6}, false, false}, inForce, after(700)));
+        EXPECT_FALSE(shouldFetch(fetch, {{7}, false, false}, inForce, after(1'400)));
+        EXPECT_TRUE(shouldFetch(fetch, {{8}, false, false}, inForce, after(2'100)));
+    });
+    test::section("a node that has caught up waits again", [&] {
+        EXPECT_FALSE(shouldFetch(fetch, {{9}, false, false}, {8}, after(2'800)));
+        EXPECT_TRUE(shouldFetch(fetch, {{9}, false, false}, {8}, after(4'400)));
+    });
+}
+
 TEST(Settings, SeedsMayBeLeftOutAndAreChecked)
 {
     const std::string text = "node = \"n\"\nzone = \"z\"\nregion = \"r\"\ncallers = \"10.0.0.1:1\"\npeers = \"10.0.0.1:2\"\ngossip = \"10.0.0.1:3\"\n"
