Let a watcher that its peers overtook read only the newest configuration

Cause: a watch replies with each change since its revision, each with its whole value. While a watcher pauses, is frozen or waits for a slow link, versions add up, and the next reply holds them all: the later it is, the more it has to take.

Change: a watcher that already has a newer generation from a peer than it has read from the store reads the head, one value, in place of resuming the watch; shouldReadHead in membership/head_watch decides. It reads once for a generation, so a store that holds an older one isn't asked again and again.

HeadWatch.AWatcherThatPeersOvertookReadsOnlyTheNewestVersion: the function is new, so there was no old code for it to fail on; that the watch was resumed in this case before is seen by reading. What it saves isn't measured yet.

--- a/include/agatedoor/membership/head_watch.hpp
+++ b/include/agatedoor/membership/head_watch.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agatedoor/base/ids.hpp"
 #include "agatedoor/base/time.hpp"
 
 #include <cstddef>
@@ -51,6 +52,19 @@
     Watch, ///< Keep up with the head in the store.
 };
 
+/// @brief What a watching node knows of the head before its next call to the store.
+struct HeadKnowledge
+{
+    bool revisionKnown = false; ///< The store revision from which to watch is known.
+    Deadline fullReadBy{TimePoint::max()};
+    Generation inForce;
+    Generation readFromStore; ///< Newest generation that this node has read from the store, or that was in force before its last full read.
+};
+
+/// @brief Whether to read the head instead of watching it. A watch replies with each change since the last one, all with their
+/// whole value; a node that got a newer generation from a peer has missed some, and needs only the newest.
+bool shouldReadHead(const HeadKnowledge &knowledge, TimePoint now);
+
 /// @brief The action for this round.
 HeadAction nextHeadAction(HeadWatchState &state, const HeadWatchView &view, const HeadWatchOptions &options, TimePoint now);
 
--- a/src/agatedoor/control/store_sync.cpp
+++ b/src/agatedoor/control/store_sync.cpp
@@ -319,8 +319,8 @@
         return m_headWatch.joined && hasBundle() ? followPeersInterval : waitForBundleInterval;
     }
     m_headChanged = false;
-    const bool full = m_headRevision == 0 || Clock::now() >= m_nextFullRead;
-    if (!(full ? readAndApplyHead() : watchHead())) {
+    const HeadKnowledge knowledge{m_headRevision != 0, {m_nextFullRead}, m_node.bundles.current()->head.generation, m_headGeneration};
+    if (!(shouldReadHead(knowledge, Clock::now()) ? readAndApplyHead() : watchHead())) {
         recordFailedRead(m_headWatch, Clock::now());
         return nextBackOff(m_headFailures, m_headRandom);
     }
@@ -336,6 +336,7 @@
 
 bool StoreSync::readAndApplyHead()
 {
+    const Generation before = m_node.bundles.current()->head.generation;
     const auto reply = m_store.range(m_releases.key, callDeadline());
     if (!recordResult(StoreCall::ReadHead, reply)) {
         return false;
@@ -348,6 +349,7 @@
             return false;
         }
     }
+    m_headGeneration = std::max(m_headGeneration, before);
     return true;
 }
 
@@ -394,6 +396,7 @@
         logLine(LogLevel::Error, "damaged-record", {{"key", m_releases.key}});
         return false;
     }
+    m_headGeneration = std::max(m_headGeneration, head->generation);
     if (head->generation <= m_node.bundles.current()->head.generation) {
         return true;
     }
--- a/src/agatedoor/control/store_sync.hpp
+++ b/src/agatedoor/control/store_sync.hpp
@@ -99,6 +99,7 @@
     TimePoint m_nextLeaseRenewal; ///< When the lease is to be renewed.
     TimePoint m_nextFullRead;
     Revision m_headRevision = 0; ///< Store revision up to which changes of the head are known; 0 when the head has to be read in full.
+    Generation m_headGeneration; ///< Newest generation read from the store, or in force before the last full read.
     bool m_headChanged = false; ///< The last watch returned a change.
     int m_contactFailures = 0;
     int m_headFailures = 0;
--- a/src/agatedoor/membership/head_watch.cpp
+++ b/src/agatedoor/membership/head_watch.cpp
@@ -49,6 +49,11 @@
 
 } // namespace
 
+bool shouldReadHead(const HeadKnowledge &knowledge, TimePoint now)
+{
+    return !knowledge.revisionKnown || expired(knowledge.fullReadBy, now) || knowledge.inForce > knowledge.readFromStore;
+}
+
 HeadAction nextHeadAction(HeadWatchState &state, const HeadWatchView &view, const HeadWatchOptions &options, TimePoint now)
 {
     if (view.isolated) {
--- a/src/agatedoor/membership/head_watch_test.cpp
+++ b/src/agatedoor/membership/head_watch_test.cpp
@@ -114,4 +114,22 @@
     });
 }
 
+/// Guards against a watcher that lags and has to take every version that it missed over a narrow link.
+TEST(HeadWatch, AWatcherThatPeersOvertookReadsOnlyTheNewestVersion)
+{
+    HeadKnowledge knowledge{.revisionKnown = true, .fullReadBy = deadlineAfter(start, seconds(60)), .inForce = {7}, .readFromStore = {7}};
+    section("one that has read what is in force goes on watching", [&] { EXPECT_FALSE(shouldReadHead(knowledge, start)); });
+    section("one that got a newer version from a peer reads", [&] {
+        knowledge.inForce = {9};
+        EXPECT_TRUE(shouldReadHead(knowledge, start));
+        knowledge.readFromStore = {9};
+        EXPECT_FALSE(shouldReadHead(knowledge, start));
+    });
+    section("so does one that doesn't know the revision, or whose full read is due", [&] {
+        EXPECT_TRUE(shouldReadHead(knowledge, start + seconds(60)));
+        knowledge.revisionKnown = false;
+        EXPECT_TRUE(shouldReadHead(knowledge, start));
+    });
+}
+
 } // namespace agatedoor
