--- a/tests/stand_ins/stand_in_backend.cpp
+++ b/tests/stand_ins/stand_in_backend.cpp
@@ -22,7 +22,7 @@
 #include <thread>
 
 /// @brief Stand-in for a backend server: runs each request for a set time and counts runs by request id.
-/// Behaviour is set with PUT /stand-in/behaviour {"service_us":int,"reject":bool,"shed":bool}; GET /stand-in/runs tells the
+/// Behaviour is set with PUT /stand-in/behaviour {"service_us":int,"reject":bool,"shed":bool,"request_limit":text,"leaving":bool}; GET /stand-in/runs tells the
 /// counts, which are printed at the end too. A run whose connection is closed is cancelled. With --run-log each run is
 /// appended to a file as "run ID NANOSECONDS" on the machine's steady clock, and the start of a leave as "leave NANOSECONDS".
 namespace agatedoor {
@@ -115,6 +115,26 @@
         if (const auto *value = object.if_contains("shed")) {
             m_shed = value->as_bool();
         }
+        if (const auto *value = object.if_contains("request_limit")) {
+            m_requestLimit = value->as_string();
+        }
+        if (const auto *value = object.if_contains("leaving")) {
+            m_leaving = value->as_bool();
+        }
+    }
+
+    /// An answer with what the backend server says of itself.
+    HttpReply answered(const std::string &body)
+    {
+        HttpReply reply = jsonReply(200, body);
+        const std::lock_guard lock(m_mutex);
+        if (!m_requestLimit.empty()) {
+            reply.fields.push_back({"Backend-Request-Limit", m_requestLimit});
+        }
+        if (m_leaving) {
+            reply.fields.push_back({"Backend-Leaving", "1"});
+        }
+        return reply;
     }
 
     std::chrono::microseconds serviceTime()
@@ -156,7 +176,7 @@
             --m_running;
             m_cancelled += responder->closed() ? 1 : 0;
         }
-        responder->reply(jsonReply(200, body));
+        responder->reply(answered(body));
     }
 
     std::mutex m_mutex;
@@ -166,6 +186,8 @@
     Random m_random{std::hash<std::string>{}(m_name)};
     bool m_reject = false;
     bool m_shed = false;
+    std::string m_requestLimit; ///< Requests a second that it says it takes; says nothing when empty.
+    bool m_leaving = false; ///< Its answers say that it leaves.
     json::object m_runs;
     std::int64_t m_running = 0;
     std::int64_t m_greatestRunning = 0;
