Keep the requests to a backend server within the limit that it names

Cause: nothing read the limit. The class: a protocol field that the adapter doesn't know passes through to callers and binds nobody.

Change: the owning node, through which all requests of a backend server go, takes each one from a token bucket of the named rate (decide/request_limit) before it asks for a slot, callers' requests, retries and hedges alike, and sends no readings of the pace while a limit is in force, since those are requests too. What exceeds it is refused at once as not run (reason request-limit) and tried elsewhere without a retry token: it reached no backend server. An answer without the limit ends it, unless its request was sent before the limit was named. Each node remembers for a backend server process what the answers that it passed on named (state/backend_notices), and tells the owner with each request, so that an owner that has restarted keeps the limit before its first answer. The rate kept is the one named, with half a second's worth at once, and half a request a second at least, without which nobody would notice that a limit of nothing has ended.

--- a/include/agatedoor/base/outcome.hpp
+++ b/include/agatedoor/base/outcome.hpp
@@ -44,6 +44,7 @@
     BackendShed,
     BackendSlow, ///< The backend server's VM is slow at the moment.
     NoFreeSlot, ///< All slots of the backend server are in use, and the request may not wait for one.
+    RequestLimit, ///< The backend server named a limit for its requests, which is used up at the moment.
 };
 
 /// @brief Name of @p outcome in the Agatedoor-Outcome header.
--- a/include/agatedoor/proxy/edge_headers.hpp
+++ b/include/agatedoor/proxy/edge_headers.hpp
@@ -17,6 +17,8 @@
     std::string callerService; ///< Tells the backend server the service of the VM that the request came from.
     std::string expectedBackend; ///< Id of the backend server that the request is meant for; any other backend server refuses it with status 421.
     std::string notRun; ///< Present in a response when the backend server did not run the request. When empty, status 503 with Agatedoor-Outcome tells it.
+    std::string requestLimit = "Backend-Request-Limit"; ///< Requests per second that a backend server takes, a decimal number, in its responses.
+    std::string leaving = "Backend-Leaving"; ///< 1 in the responses of a backend server that leaves.
     std::string load; ///< Load in a backend server's response, comma-separated: running requests, waiting requests, slots, pace in percent.
 };
 
--- a/include/agatedoor/state/gate.hpp
+++ b/include/agatedoor/state/gate.hpp
@@ -5,6 +5,7 @@
 #include "agatedoor/decide/knee.hpp"
 #include "agatedoor/decide/pace.hpp"
 #include "agatedoor/decide/priority_queue.hpp"
+#include "agatedoor/decide/request_limit.hpp"
 #include "agatedoor/decide/service_times.hpp"
 #include "agatedoor/decide/token_bucket.hpp"
 #include "agatedoor/state/backend_stats.hpp"
@@ -56,6 +57,7 @@
     double adaptiveLimit = 0; ///< As AdaptiveLimit::limit; each route has a baseline of its own in @ref times.
     Knee knee;
     TokenBucket paceProbeBudget{1, TimePoint{}}; ///< Limits the probes that read the VM's pace.
+    RequestLimit requestLimit; ///< Rate that the backend server names for its requests.
 };
 
 /// @brief Slots, queue, connections and counters of one backend server; shared by all request threads.
@@ -74,6 +76,8 @@
     std::atomic<std::int64_t> queued{0}; ///< Requests that wait for a slot.
     std::atomic<std::int64_t> serviceTimeNs{0}; ///< Moving average of the service time; 0 when unknown.
     std::atomic<bool> draining{false}; ///< No new requests are admitted.
+    std::atomic<bool> limitHeard{false}; ///< As RequestLimit::heard.
+    std::atomic<bool> requestsLimited{false}; ///< A request limit is in force.
     std::atomic<std::uint64_t> admitted{0};
     std::atomic<std::uint64_t> refused{0};
     std::array<std::atomic<std::uint64_t>, refusalCounters> refusals{}; ///< Refusals by Reason.
--- a/src/agatedoor/control/node_state.hpp
+++ b/src/agatedoor/control/node_state.hpp
@@ -4,6 +4,7 @@
 #include "agatedoor/membership/local_backends.hpp"
 #include "agatedoor/proxy/edge_headers.hpp"
 #include "agatedoor/release/bundle_controller.hpp"
+#include "agatedoor/state/backend_notices.hpp"
 #include "agatedoor/state/path_delays.hpp"
 #include "agatedoor/state/settings.hpp"
 #include "agatedoor/state/snapshot.hpp"
@@ -42,6 +43,7 @@
     LocalBackendController localBackends;
     Snapshot<FleetView> fleet;
     PathDelays pathDelays;
+    BackendNotices notices; ///< What backend servers anywhere said in the answers that this node passed on.
     std::atomic<bool> stopping{false}; ///< The node is not ready, and callers are asked to connect elsewhere.
     std::atomic<bool> refusingPeers{false}; ///< Peers are told that this node stops, and requests from other nodes are refused.
     /// Requests from callers are refused too. To be read after the request is counted in inFlight, so that a stop either waits for the request
--- a/src/agatedoor/decide/attempt_signal.cpp
+++ b/src/agatedoor/decide/attempt_signal.cpp
@@ -33,6 +33,7 @@
     case Reason::DeadlineTooShort:
     case Reason::ConnectionLimit:
     case Reason::BackendShed:
+    case Reason::RequestLimit:
         return AttemptSignal::Overloaded;
     case Reason::BackendSlow:
         return AttemptSignal::Slow;
--- a/src/agatedoor/decide/retry.cpp
+++ b/src/agatedoor/decide/retry.cpp
@@ -10,6 +10,7 @@
     switch (reason) {
     case Reason::Stopping:
     case Reason::BackendSlow:
+    case Reason::RequestLimit:
     case Reason::BackendDraining:
     case Reason::WrongIncarnation:
     case Reason::WrongTarget:
--- a/src/agatedoor/proxy/backend/backend_admission.cpp
+++ b/src/agatedoor/proxy/backend/backend_admission.cpp
@@ -1,5 +1,6 @@
 #include "backend_admission.hpp"
 
+#include "agatedoor/state/gate_request_limit.hpp"
 #include "agatedoor/wire/log.hpp"
 #include "pace_reading.hpp"
 
@@ -124,6 +125,15 @@
         co_return Reason::WrongTarget;
     }
     const LocalBackend &backend = found->second;
+    if (request.rememberedLimit > 0) {
+        adoptRequestLimit(*backend.gate, request.rememberedLimit, Clock::now());
+    }
+    LimitedRequest limited(backend.gate, Clock::now());
+    if (!limited.allowed()) {
+        countRefusal(*backend.gate, Reason::RequestLimit);
+        logRefusal(request, *backend.gate, Reason::RequestLimit);
+        co_return Reason::RequestLimit;
+    }
     SlotWait wait(worker.context, backend.gate);
     const AdmissionDecision decision
         = wait.acquireSlot({.priority = request.priority, .deadline = request.deadline, .route = request.route, .mayWait = !request.spareOnly});
@@ -143,6 +153,7 @@
     if (slow != Reason::None) {
         co_return slow;
     }
+    limited.keep();
     co_return admitted;
 }
 
--- a/src/agatedoor/proxy/backend/backend_admission.hpp
+++ b/src/agatedoor/proxy/backend/backend_admission.hpp
@@ -39,6 +39,7 @@
     bool last = false; ///< The sender has no other backend server to try, so the request starts on a slow VM too once holdUntil has passed.
     bool repeat = false; ///< The request is a retry or hedge.
     bool spareOnly = false; ///< The request only takes a slot that is free and a VM that isn't slow.
+    double rememberedLimit = 0; ///< Requests per second that the backend server takes, as the sender remembers it; 0 when it knows of no limit.
     Cancellation *cancellation = nullptr; ///< Cancellation of the request; null when it cannot be cancelled.
 };
 
--- a/src/agatedoor/proxy/backend/backend_call.cpp
+++ b/src/agatedoor/proxy/backend/backend_call.cpp
@@ -1,6 +1,7 @@
 #include "agatedoor/decide/attempt_signal.hpp"
 #include "agatedoor/proxy/headers.hpp"
 #include "agatedoor/proxy/response_reader.hpp"
+#include "agatedoor/state/gate_request_limit.hpp"
 #include "agatedoor/wire/log.hpp"
 #include "backend_admission.hpp"
 #include "backend_connection.hpp"
@@ -161,6 +162,16 @@
     connection.reset();
 }
 
+/// Records what the backend server says of itself in an answer: how many requests it takes, and that it leaves.
+void recordNotices(const EdgeHeaders &edge, Gate &gate, const StringResponse &response, TimePoint sentAt)
+{
+    const std::string_view named = header::text(response, edge.requestLimit);
+    const auto rate = header::requestRate(named);
+    if (rate || named.empty()) {
+        recordLimitNotice(gate, {rate, sentAt}, Clock::now());
+    }
+}
+
 /// When a request was dispatched, and the load at that time.
 struct DispatchStart
 {
@@ -213,6 +224,7 @@
         asio::co_spawn(executor, closeAbandoned(std::move(backend.connection), admitted.slot), logFailures("close-failed"));
         co_return result;
     }
+    recordNotices(worker.node.edge, *admitted.slot.sharedGate(), *result.response, started.at);
     recordAnswer(worker, admitted, std::move(backend.connection), result, started);
     const Reason refusal = refusalReasonOf(worker.node.edge, *result.response);
     if (refusal != Reason::None) {
--- a/src/agatedoor/proxy/backend/pace_reading.cpp
+++ b/src/agatedoor/proxy/backend/pace_reading.cpp
@@ -1,6 +1,7 @@
 #include "pace_reading.hpp"
 
 #include "agatedoor/proxy/headers.hpp"
+#include "agatedoor/state/gate_request_limit.hpp"
 #include "backend_connection.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -63,7 +64,7 @@
 {
     PaceContext view;
     view.pace = paceOf(gate);
-    view.probeAllowed = paceProbeAvailable(gate, now);
+    view.probeAllowed = paceProbeAvailable(gate, now) && !requestsLimited(gate); // A probe is a request to the backend server too.
     view.holdUntil = request.holdUntil;
     view.deadline = request.deadline;
     view.serviceTime = serviceTimeOf(gate, request.route);
--- a/src/agatedoor/proxy/caller/attempt_plan.cpp
+++ b/src/agatedoor/proxy/caller/attempt_plan.cpp
@@ -76,6 +76,9 @@
         ++plan.loadRefusals;
         plan.context.nearOnly = false;
     }
+    if (result.reason == Reason::RequestLimit) {
+        plan.context.nearOnly = false;
+    }
     plan.search.slowMet += result.reason == Reason::BackendSlow ? 1 : 0;
     plan.freeRefusals += needsNoRetryToken(result.outcome, result.reason) ? 1 : 0;
 }
--- a/src/agatedoor/proxy/caller/backend_choice.cpp
+++ b/src/agatedoor/proxy/caller/backend_choice.cpp
@@ -2,6 +2,7 @@
 
 #include "agatedoor/decide/ejection.hpp"
 #include "agatedoor/decide/routing.hpp"
+#include "agatedoor/proxy/headers.hpp"
 #include "agatedoor/proxy/link_traffic.hpp"
 #include "agatedoor/state/record_attempt.hpp"
 
@@ -68,6 +69,20 @@
     return chosen ? &found->second[*chosen] : nullptr;
 }
 
+namespace {
+
+/// Remembers what the backend server said of itself in the answer that this node is about to pass on.
+void rememberNotice(NodeState &node, const BackendEntry &entry, const StringResponse &response, TimePoint now)
+{
+    BackendNotice notice;
+    notice.born = entry.born;
+    notice.leaving = header::text(response, node.edge.leaving) == "1";
+    notice.requestLimit = header::requestRate(header::text(response, node.edge.requestLimit)).value_or(0);
+    node.notices.record(entry.backend, notice, now);
+}
+
+} // namespace
+
 TimePoint beginAttempt(const BackendEntry &entry)
 {
     const TimePoint now = Clock::now();
@@ -89,6 +104,9 @@
     attempt.pathDelay = expectedPathDelay(node, entry);
     recordAttempt(*entry.stats, attempt, ejectionOptions, now);
     countLinkTraffic(context, entry, result, now);
+    if (result.response) {
+        rememberNotice(node, entry, *result.response, now);
+    }
     recordAnswerSize(context, result);
     if (result.load && result.load->timeAtOwner > Duration::zero()) {
         recordPathDelay(node.pathDelays, entry.locality, attempt.end.elapsed, result.load->timeAtOwner);
--- a/src/agatedoor/proxy/caller/run_attempt.cpp
+++ b/src/agatedoor/proxy/caller/run_attempt.cpp
@@ -65,6 +65,8 @@
     request.repeat = options.repeat;
     request.spareOnly = options.spareOnly;
     request.cancellation = &context.cancellation;
+    const auto notice = context.worker.node.notices.find(entry.backend, entry.born, Clock::now());
+    request.rememberedLimit = notice ? notice->requestLimit : 0;
     CountedAttempt counted(entry);
     const bool isLocal = entry.node == context.worker.node.settings.node;
     AttemptResult result;
--- a/src/agatedoor/proxy/headers.cpp
+++ b/src/agatedoor/proxy/headers.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <vector>
 
 namespace agatedoor::header {
@@ -134,6 +135,17 @@
     return pace && *pace > 0 ? pace : std::nullopt;
 }
 
+std::optional<double> requestRate(std::string_view text)
+{
+    double rate = 0;
+    const auto *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, rate);
+    if (parsed.ec != std::errc{} || parsed.ptr != end || !std::isfinite(rate) || rate < 0) {
+        return std::nullopt;
+    }
+    return rate;
+}
+
 std::string loadText(const LoadReport &report)
 {
     std::string text;
--- a/src/agatedoor/proxy/headers.hpp
+++ b/src/agatedoor/proxy/headers.hpp
@@ -28,6 +28,8 @@
     = "Agatedoor-Hold-Us"; ///< Longest time that the request may wait while its VM is slow, microseconds; only between nodes.
 inline constexpr std::string_view last = "Agatedoor-Last"; ///< 1 when the sender has no other backend server to try; only between nodes.
 inline constexpr std::string_view spareOnly = "Agatedoor-Spare-Only"; ///< 1 when the request only takes a slot that is free; only between nodes.
+/// Requests in a thousand seconds that the backend server takes, as the sender remembers it; only between nodes.
+inline constexpr std::string_view rememberedLimit = "Agatedoor-Remembered-Limit";
 inline constexpr std::string_view load = "Agatedoor-Load"; ///< Load report, see loadText(); only between nodes.
 
 /// @brief Removes hop-by-hop fields and all Agatedoor- fields.
@@ -52,6 +54,9 @@
 /// the usual time.
 std::optional<std::int64_t> backendPace(std::string_view load);
 
+/// @brief A rate as a decimal number, requests per second; none when @p text isn't a finite number of at least 0.
+std::optional<double> requestRate(std::string_view text);
+
 /// @brief Formats a load report as `IN_FLIGHT SLOTS SERVICE_US AT_OWNER_US PACE_PERCENT`.
 std::string loadText(const LoadReport &report);
 
--- a/src/agatedoor/proxy/peer/peer_client.cpp
+++ b/src/agatedoor/proxy/peer/peer_client.cpp
@@ -5,6 +5,7 @@
 #include "agatedoor/proxy/response_reader.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace agatedoor {
 
@@ -16,6 +17,8 @@
 constexpr std::chrono::milliseconds maxVerifiedAge{500}; ///< Over a connection verified longer ago, an idempotent request is offered first.
 constexpr int offerDeadlineDivisor = 3; ///< An offer, without any hold, waits for at most the time left to the deadline divided by this.
 
+constexpr double maxRememberedLimit = 1e9; ///< Requests per second; keeps the number within its type.
+
 using Serializer = http::request_serializer<http::span_body<char const>>;
 
 /// Result of sending a request over one connection.
@@ -42,6 +45,10 @@
     if (!expired(request.holdUntil, now)) {
         outgoing.set(header::hold, std::to_string(inMicroseconds(remaining(request.holdUntil, now)).count()));
     }
+    if (request.rememberedLimit > 0) {
+        const double inThousandSeconds = std::min(request.rememberedLimit, maxRememberedLimit) * 1000;
+        outgoing.set(header::rememberedLimit, std::to_string(static_cast<std::int64_t>(std::ceil(inThousandSeconds))));
+    }
     outgoing.set(header::priority, std::string(wireName(request.priority)));
     outgoing.set(header::route, std::to_string(request.route.value));
     if (!offered) {
--- a/src/agatedoor/proxy/peer/peer_server.cpp
+++ b/src/agatedoor/proxy/peer/peer_server.cpp
@@ -35,6 +35,7 @@
     request.last = header::number(fields, header::last).value_or(0) != 0;
     request.spareOnly = header::number(fields, header::spareOnly).value_or(0) != 0;
     request.depth = header::number(fields, header::depth).value_or(0);
+    request.rememberedLimit = static_cast<double>(std::max<std::int64_t>(0, header::number(fields, header::rememberedLimit).value_or(0))) / 1000;
     request.repeat = header::number(fields, header::repeat).value_or(0) != 0;
     return request;
 }
