Drain a backend server that says in its answers that it leaves

Cause: nothing read it, as with the request limit.

Change: the owning node stops new requests with the first such answer; the controller then records the departure, as for a drain, so that late announcements don't bring the process back, the fleet is told, and the node's next process is bound too. A node that passed such an answer on keeps it in its own notices and sends that process nothing more, whatever the owner or the store says.

--- a/include/agatedoor/membership/local_backends.hpp
+++ b/include/agatedoor/membership/local_backends.hpp
@@ -85,6 +85,9 @@
     /// @brief Applies departures, kept by the fleet, that an earlier process of this node or another node acknowledged.
     /// @return the departures that were new
     std::vector<Departure> applyDepartures(const std::vector<Departure> &departures, TimePoint now);
+    /// @brief Drains the backend servers that said in an answer that they leave (Gate::saidItLeaves).
+    /// @return the departures that were new
+    std::vector<Departure> applySaidLeaves(const ClockReading &now);
     /// @brief Departures that this node, and its next process, must apply.
     std::vector<Departure> departures(TimePoint now) const;
     /// @brief Removes the backend servers whose last announcement is older than @p since; returns their ids.
--- a/include/agatedoor/state/gate.hpp
+++ b/include/agatedoor/state/gate.hpp
@@ -76,6 +76,7 @@
     std::atomic<std::int64_t> queued{0}; ///< Requests that wait for a slot.
     std::atomic<std::int64_t> serviceTimeNs{0}; ///< Moving average of the service time; 0 when unknown.
     std::atomic<bool> draining{false}; ///< No new requests are admitted.
+    std::atomic<bool> saidItLeaves{false}; ///< An answer of the backend server said so; it stays draining whatever it announces.
     std::atomic<bool> limitHeard{false}; ///< As RequestLimit::heard.
     std::atomic<bool> requestsLimited{false}; ///< A request limit is in force.
     std::atomic<std::uint64_t> admitted{0};
--- a/src/agatedoor/control/peer_sync.cpp
+++ b/src/agatedoor/control/peer_sync.cpp
@@ -177,6 +177,7 @@
         announceNewGeneration(now);
         if (now >= nextTick) {
             nextTick = now + tickInterval;
+            drainBackendsThatSaidTheyLeave();
             if (recordDiffers(currentRecord(), m_membership.self)) {
                 applyOutput(updateSelf(m_membership, currentRecord(), now, m_random));
             }
@@ -188,6 +189,13 @@
     }
 }
 
+void PeerSync::drainBackendsThatSaidTheyLeave()
+{
+    for (const auto &departure : m_node.localBackends.applySaidLeaves(readClocks())) {
+        logLine(LogLevel::Info, "drain", {{"backend", departure.backend.value}, {"outcome", std::string("said-in-answer")}});
+    }
+}
+
 void PeerSync::handleMessage(const std::string &bytes, TimePoint now)
 {
     const auto message = decodePeerMessage(bytes);
--- a/src/agatedoor/control/peer_sync.hpp
+++ b/src/agatedoor/control/peer_sync.hpp
@@ -67,6 +67,7 @@
     void run();
     void enqueue(std::string bytes);
     std::deque<std::string> waitForWork(bool &recordChanged);
+    void drainBackendsThatSaidTheyLeave();
     void handleMessage(const std::string &bytes, TimePoint now);
     void requestNewerBundle(const PeerMessage &message, TimePoint now);
     void sendBundle(const PeerMessage &request, TimePoint now);
--- a/src/agatedoor/membership/local_backends.cpp
+++ b/src/agatedoor/membership/local_backends.cpp
@@ -28,7 +28,7 @@
     gate.limit.store(record.slots.value);
     gate.announcedConnections.store(record.connections.value);
     recordConnect(gate, true);
-    gate.draining.store(record.status == BackendStatus::Draining);
+    gate.draining.store(record.status == BackendStatus::Draining || gate.saidItLeaves.load());
 }
 
 /// Removes other backend servers at the same address: only one process can listen there, so they have ended.
@@ -146,6 +146,9 @@
     backend.record = announcement.record;
     backend.endpoint = announcement.endpoint;
     backend.version = announcement.version;
+    if (!sameProcess) {
+        backend.gate->saidItLeaves.store(false);
+    }
     applyRecord(*backend.gate, announcement.record);
     removeReplaced(next, announcement);
     publish(std::move(next));
@@ -241,6 +244,18 @@
     return added;
 }
 
+std::vector<Departure> LocalBackendController::applySaidLeaves(const ClockReading &now)
+{
+    std::vector<Departure> leaves;
+    for (const auto &[id, backend] : current()->backends) {
+        if (backend.gate->saidItLeaves.load() && backend.record.status != BackendStatus::Draining) {
+            const UnixTime lastBorn = backend.version.born.value > 0 ? backend.version.born : now.timeOfDay;
+            leaves.push_back({id, DepartureStep::Draining, lastBorn});
+        }
+    }
+    return leaves.empty() ? leaves : applyDepartures(leaves, now.at);
+}
+
 std::vector<Departure> LocalBackendController::departures(TimePoint now) const
 {
     const std::lock_guard lock(m_publishing);
--- a/src/agatedoor/membership/local_backends_test.cpp
+++ b/src/agatedoor/membership/local_backends_test.cpp
@@ -278,4 +278,31 @@
     });
 }
 
+/// Guards against new work for a backend server whose answers say that it leaves while its announcements say that it serves.
+TEST(LocalBackends, ThatSayInAnAnswerThatTheyLeaveStayDraining)
+{
+    LocalBackendController controller;
+    ASSERT_TRUE(controller.announce(announcementOf("a", 100, 1), start));
+    gateOf(controller, "a")->saidItLeaves.store(true);
+    test::section("the fleet is told, once", [&] {
+        const auto leaves = controller.applySaidLeaves(after(milliseconds(50)));
+        ASSERT_EQ(leaves.size(), 1U);
+        EXPECT_EQ(leaves.front(), (Departure{{"a"}, DepartureStep::Draining, {100}}));
+        EXPECT_EQ(controller.current()->backends.at({"a"}).record.status, BackendStatus::Draining);
+        EXPECT_TRUE(controller.applySaidLeaves(after(milliseconds(100))).empty());
+    });
+    test::section("later announcements of the same process don't bring it back, not even after the departure has expired", [&] {
+        ASSERT_TRUE(controller.announce(announcementOf("a", 100, 2), after(seconds(1))));
+        EXPECT_TRUE(gateOf(controller, "a")->draining);
+        ASSERT_TRUE(controller.announce(announcementOf("a", 100, 3), after(retention + seconds(1))));
+        EXPECT_TRUE(gateOf(controller, "a")->draining);
+        EXPECT_EQ(controller.applySaidLeaves(after(retention + seconds(1))).size(), 1U);
+    });
+    test::section("a new process of the same id serves", [&] {
+        ASSERT_TRUE(controller.announce(announcementOf("a", 200, 1), after(retention + seconds(2))));
+        EXPECT_FALSE(gateOf(controller, "a")->draining);
+        EXPECT_TRUE(controller.applySaidLeaves(after(retention + seconds(2))).empty());
+    });
+}
+
 } // namespace agatedoor
--- a/src/agatedoor/proxy/backend/backend_call.cpp
+++ b/src/agatedoor/proxy/backend/backend_call.cpp
@@ -170,6 +170,10 @@
     if (rate || named.empty()) {
         recordLimitNotice(gate, {rate, sentAt}, Clock::now());
     }
+    if (header::text(response, edge.leaving) == "1") {
+        gate.saidItLeaves.store(true);
+        gate.draining.store(true);
+    }
 }
 
 /// When a request was dispatched, and the load at that time.
--- a/src/agatedoor/proxy/caller/backend_choice.cpp
+++ b/src/agatedoor/proxy/caller/backend_choice.cpp
@@ -39,7 +39,8 @@
     candidate.slots = entry.slots;
     candidate.pathDelay = expectedPathDelay(context.worker.node, entry);
     candidate.weight *= warmUpWeight(entry, context.service->warmUp, now);
-    candidate.draining = entry.draining;
+    const auto notice = context.worker.node.notices.find(entry.backend, entry.born, now);
+    candidate.draining = entry.draining || (notice && notice->leaving);
     candidate.avoided = avoided(*entry.stats, entry.incarnation, now);
     candidate.excluded = std::find(tried.begin(), tried.end(), entry.backend) != tried.end();
     return candidate;
