Refuse announcements whose numbers are odd, and leave such entries of peers out

But six of fourteen odd announcements were accepted: a start time or a sequence of another type, beyond all integers or negative counted as 'unknown', so that the entry could replace a sound one; slots or connections near the greatest integer were taken, and sums of them overflow. Deep nesting, ports out of range, unknown words and unreadable bytes were refused before.

Change: such announcements are refused as malformed, slots above a million and connections above ten million too; a member record with a port out of range is not read, and a backend server with such numbers in a member record is left out, while the others stay.

OddAnnouncements.NameNoBackendServerAndHarmNoOther failed before for these six and passes; a section of ExternalInput shows the same for records of peers.

--- a/include/agatedoor/membership/member.hpp
+++ b/include/agatedoor/membership/member.hpp
@@ -13,6 +13,11 @@
 /// @brief Records in which nodes describe themselves and their backend servers to each other.
 namespace agatedoor {
 
+/// @brief Most slots and connections that a backend server may announce. Greater numbers are taken for damage: sums of them
+/// must not overflow.
+inline constexpr std::int64_t maxSlots = 1'000'000;
+inline constexpr std::int64_t maxConnections = 10'000'000;
+
 /// @brief State of a backend server as announced to the node on its VM.
 enum class BackendStatus {
     Serving,
--- a/src/agatedoor/membership/external_input_test.cpp
+++ b/src/agatedoor/membership/external_input_test.cpp
@@ -99,6 +99,15 @@
             }
         });
     });
+    section("member record: a backend server with numbers out of range is left out, the others stay", [] {
+        MemberRecord member = exampleMember();
+        member.backends.push_back({{"odd"}, {"catalogue"}, {std::numeric_limits<std::int64_t>::max()}, {220}, BackendStatus::Serving});
+        member.backends.push_back({{"none"}, {"catalogue"}, {0}, {220}, BackendStatus::Serving});
+        const auto decoded = decodeMember(encodeMember(member));
+        ASSERT_TRUE(decoded);
+        ASSERT_EQ(decoded->backends.size(), 1U);
+        EXPECT_EQ(decoded->backends.front().backend.value, "backend1");
+    });
     section("member record: a decoded record names a node", [] {
         forEachDamaged(encodeMember(exampleMember()), [](const std::string &bytes) {
             const auto decoded = decodeMember(bytes);
--- a/src/agatedoor/membership/local_backends.cpp
+++ b/src/agatedoor/membership/local_backends.cpp
@@ -9,10 +9,10 @@
 
 Result<Done, AnnounceError> validate(const BackendRecord &record)
 {
-    if (record.slots.value < 1) {
+    if (record.slots.value < 1 || record.slots.value > maxSlots) {
         return AnnounceError::BadSlots;
     }
-    if (record.connections.value < record.slots.value) {
+    if (record.connections.value < record.slots.value || record.connections.value > maxConnections) {
         return AnnounceError::BadConnections;
     }
     if (record.service.value.empty()) {
--- a/src/agatedoor/membership/member.cpp
+++ b/src/agatedoor/membership/member.cpp
@@ -2,12 +2,24 @@
 
 #include "member_codec.hpp"
 
+#include <limits>
 #include <tuple>
 
 namespace agatedoor {
 
 namespace {
 
+bool hasValidPort(const messages::Endpoint &message)
+{
+    return message.port() <= std::numeric_limits<std::uint16_t>::max();
+}
+
+bool isUsable(const messages::Backend &message)
+{
+    return !message.backend().empty() && message.slots() >= 1 && message.slots() <= maxSlots && message.connections() >= 0
+        && message.connections() <= maxConnections;
+}
+
 void encodeBackend(const BackendRecord &record, messages::Backend &message)
 {
     message.set_backend(record.backend.value);
@@ -112,7 +124,7 @@
 
 std::optional<MemberRecord> decodeMember(const messages::Member &message)
 {
-    if (message.node().empty()) {
+    if (message.node().empty() || !hasValidPort(message.peers()) || !hasValidPort(message.gossip())) {
         return std::nullopt;
     }
     MemberRecord record;
@@ -125,7 +137,9 @@
     record.gossip = decodeEndpoint(message.gossip());
     record.stopping = message.stopping();
     for (const auto &backend : message.backends()) {
-        record.backends.push_back(decodeBackend(backend));
+        if (isUsable(backend)) {
+            record.backends.push_back(decodeBackend(backend));
+        }
     }
     record.departures = decodeDepartures(message.departures());
     return record;
--- a/src/agatedoor/node/backend_api.cpp
+++ b/src/agatedoor/node/backend_api.cpp
@@ -42,6 +42,16 @@
     return value->get_int64();
 }
 
+/// Integer of at least 0: 0 if @p object has none, nothing if it is of another type, out of range or negative.
+std::optional<std::int64_t> parseCount(const json::object &object, std::string_view key)
+{
+    if (!object.contains(key)) {
+        return 0;
+    }
+    const auto value = integerMember(object, key);
+    return value && *value >= 0 ? value : std::nullopt;
+}
+
 /// Status in an announcement: serving if it has none, nothing if it is invalid.
 std::optional<BackendStatus> parseStatus(const json::object &object)
 {
@@ -81,7 +91,9 @@
     const auto address = stringMember(object, "address");
     const auto slots = integerMember(object, "slots");
     const auto status = parseStatus(object);
-    if (!service || !address || !slots || !status) {
+    const auto born = parseCount(object, "born");
+    const auto sequence = parseCount(object, "sequence");
+    if (!service || !address || !slots || !status || !born || !sequence) {
         return std::nullopt;
     }
     const auto endpoint = parseEndpoint(*address);
@@ -91,7 +103,7 @@
     Announcement announcement;
     announcement.record = {backend, {*service}, {*slots}, connectionsOf(node, object, {*service}, *slots), *status};
     announcement.endpoint = endpoint.value();
-    announcement.version = {{integerMember(object, "born").value_or(0)}, integerMember(object, "sequence").value_or(0)};
+    announcement.version = {{*born}, *sequence};
     return announcement;
 }
 
--- a/tests/process/broken_answer_test.cpp
+++ b/tests/process/broken_answer_test.cpp
@@ -20,6 +20,10 @@
     const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
     return {
         {.name = "inside the status line", .bytes = "HTTP/1.1 20"},
+        {.name = "after the status line", .bytes = ok},
+        {.name = "after a whole header field", .bytes = ok + "Content-Type: text/plain\r\n"},
+        {.name = "after the field that states its length", .bytes = ok + "Content-Length: 0\r\n"},
+        {.name = "inside the end of the header", .bytes = ok + "Content-Length: 0\r\n\r"},
         {.name = "inside the header", .bytes = ok + "Content-Len"},
         {.name = "before a body of a stated length", .bytes = ok + "Content-Length: 10\r\n\r\n"},
         {.name = "inside a body of a stated length", .bytes = ok + "Content-Length: 10\r\n\r\nhalf."},
