Never send a request again on a connection on which it was refused

Here: a refusal of another request is recognised by its id and dropped. But a request that is sent again under its id, by its caller or by a later step of the search for a backend server, could go over the connection on which it was refused, and the repeated refusal has the right id. Where answers carry no id (agatedoor's own interface) any repeated refusal was taken.

Change: a connection remembers the requests that were refused on it, sixteen at most, and carries none of them again; where answers carry no id it is closed after a refusal.

PlatformSession.ARepeatedRefusalIsNotTakenForTheAnswerToTheSameRequest failed before (503, not run, in place of the backend server's 200) and passes. That the connection is closed where answers carry no id has no test yet.

--- a/src/agatedoor/proxy/backend/backend_call.cpp
+++ b/src/agatedoor/proxy/backend/backend_call.cpp
@@ -203,7 +203,7 @@
 
 asio::awaitable<AttemptResult> dispatch(Worker &worker, Admitted &admitted, const BackendRequest &request, const StringRequest &message)
 {
-    BackendConnection backend = co_await connectBackend(worker, admitted, request.deadline);
+    BackendConnection backend = co_await connectBackend(worker, admitted, request.id, request.deadline);
     if (!backend.connection) {
         co_return notRun(backend.reason);
     }
@@ -229,8 +229,11 @@
         co_return result;
     }
     recordNotices(worker.node.edge, *admitted.slot.sharedGate(), *result.response, started.at);
-    recordAnswer(worker, admitted, std::move(backend.connection), result, started);
     const Reason refusal = refusalReasonOf(worker.node.edge, *result.response);
+    if (refusal != Reason::None) {
+        recordRefusalOn(*backend.connection, request.id, worker.node.edge.echoesRequestId);
+    }
+    recordAnswer(worker, admitted, std::move(backend.connection), result, started);
     if (refusal != Reason::None) {
         co_return notRun(refusal);
     }
--- a/src/agatedoor/proxy/backend/backend_connection.cpp
+++ b/src/agatedoor/proxy/backend/backend_connection.cpp
@@ -2,21 +2,30 @@
 
 #include "agatedoor/proxy/headers.hpp"
 
+#include <algorithm>
+
 namespace agatedoor {
 
 namespace {
 
 constexpr std::chrono::milliseconds backendConnectTimeout{500};
+constexpr std::size_t maxRefusals = 16; ///< A connection with more is closed, so that the list stays short.
+
+bool wasRefusedOn(const Connection &connection, const RequestId &id)
+{
+    return std::find(connection.refused.begin(), connection.refused.end(), id) != connection.refused.end();
+}
 
-/// Idle connection whose lease belongs to the current gate. Closes those of an earlier gate at the same address.
-std::unique_ptr<Connection> takeIdle(Worker &worker, const Admitted &admitted)
+/// Idle connection whose lease belongs to the current gate. Closes those of an earlier gate at the same address, and those on which
+/// the request was refused before.
+std::unique_ptr<Connection> takeIdle(Worker &worker, const Admitted &admitted, const RequestId &id)
 {
     for (;;) {
         auto connection = worker.backends.take(admitted.endpoint, Clock::now());
         if (!connection) {
             return nullptr;
         }
-        if (connection->lease && connection->lease->belongsTo(admitted.slot.gate())) {
+        if (connection->lease && connection->lease->belongsTo(admitted.slot.gate()) && !wasRefusedOn(*connection, id)) {
             connection->lease->markBusy();
             return connection;
         }
@@ -33,10 +42,10 @@
 
 } // namespace
 
-asio::awaitable<BackendConnection> connectBackend(Worker &worker, const Admitted &admitted, Deadline deadline)
+asio::awaitable<BackendConnection> connectBackend(Worker &worker, const Admitted &admitted, const RequestId &id, Deadline deadline)
 {
     BackendConnection result;
-    result.connection = takeIdle(worker, admitted);
+    result.connection = takeIdle(worker, admitted, id);
     if (result.connection) {
         co_return result;
     }
@@ -58,6 +67,12 @@
     co_return result;
 }
 
+void recordRefusalOn(Connection &connection, const RequestId &id, bool answersNameTheirRequest)
+{
+    connection.unusable = connection.unusable || !answersNameTheirRequest || connection.refused.size() >= maxRefusals;
+    connection.refused.push_back(id);
+}
+
 void keepBackendConnection(Worker &worker, const Admitted &admitted, std::unique_ptr<Connection> connection, const StringResponse &response, TimePoint now)
 {
     if (response.keep_alive() && !connection->unusable && connection->lease->markIdle()) {
--- a/src/agatedoor/proxy/backend/pace_reading.cpp
+++ b/src/agatedoor/proxy/backend/pace_reading.cpp
@@ -27,7 +27,8 @@
     Gate &gate = *admitted.slot.sharedGate();
     takePaceProbe(gate, Clock::now());
     const Deadline deadline = deadlineAfter(Clock::now(), readingTimeout);
-    BackendConnection backend = co_await connectBackend(worker, admitted, deadline);
+    const RequestId none; // A reading has no id.
+    BackendConnection backend = co_await connectBackend(worker, admitted, none, deadline);
     if (!backend.connection) {
         co_return false;
     }
--- a/src/agatedoor/proxy/connection_pool.hpp
+++ b/src/agatedoor/proxy/connection_pool.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agatedoor/base/endpoint.hpp"
+#include "agatedoor/base/ids.hpp"
 #include "agatedoor/base/time.hpp"
 #include "agatedoor/state/connection_lease.hpp"
 #include "http_types.hpp"
@@ -26,6 +27,8 @@
     beast::flat_buffer buffer{maxUnparsedBytes};
     bool reused = false; ///< Taken from the pool, so the other end may have become unreachable unnoticed.
     bool unusable = false; ///< A write failed, or a response to another request was received; not to be reused.
+    /// Requests that the backend server refused on it. None of them is sent on it again: a repeated refusal couldn't be told from the answer.
+    std::vector<RequestId> refused;
     TimePoint verifiedAt; ///< When the connection last returned to the pool after a complete response; the epoch when it must be verified again.
 };
 
