--- a/include/agatedoor/state/gate.hpp
+++ b/include/agatedoor/state/gate.hpp
@@ -78,7 +78,7 @@
     std::atomic<bool> draining{false}; ///< No new requests are admitted.
     std::atomic<bool> saidItLeaves{false}; ///< An answer of the backend server said so; it stays draining whatever it announces.
     std::atomic<bool> limitHeard{false}; ///< As RequestLimit::heard.
-    std::atomic<bool> requestsLimited{false}; ///< A request limit is in force.
+    std::atomic<double> requestLimit{0}; ///< As RequestLimit::rate.
     std::atomic<std::uint64_t> admitted{0};
     std::atomic<std::uint64_t> refused{0};
     std::array<std::atomic<std::uint64_t>, refusalCounters> refusals{}; ///< Refusals by Reason.
--- a/src/agatedoor/proxy/backend/backend_admission.cpp
+++ b/src/agatedoor/proxy/backend/backend_admission.cpp
@@ -66,6 +66,8 @@
     bool m_waiting = false;
 };
 
+constexpr double requestLimitUnit = 1000; ///< Seconds; a log line has whole numbers only.
+
 /// Microseconds from @p time to @p now; -1 when @p time is unset.
 std::int64_t microsecondsSince(TimePoint time, TimePoint now)
 {
@@ -87,6 +89,7 @@
                  {"limit", load.limit.value},
                  {"queued", load.queued},
                  {"service_time_us", inMicroseconds(load.serviceTime).count()},
+                 {"requests_in_1000_s", static_cast<std::int64_t>(gate.requestLimit.load() * requestLimitUnit)},
                  {"pace_percent", gate.pacePercent.load(std::memory_order_relaxed)},
                  {"pace_age_us", microsecondsSince(pace.readAt, now)},
                  {"time_left_us", inMicroseconds(remaining(request.deadline, now)).count()},
--- a/src/agatedoor/state/gate_request_limit.cpp
+++ b/src/agatedoor/state/gate_request_limit.cpp
@@ -4,13 +4,13 @@
 
 void recordLimitNotice(Gate &gate, const LimitNotice &notice, TimePoint now)
 {
-    if (!notice.rate && gate.limitHeard.load() && !gate.requestsLimited.load()) {
+    if (!notice.rate && gate.limitHeard.load() && !requestsLimited(gate)) {
         return;
     }
     const std::lock_guard lock(gate.queue.mutex);
     applyNotice(gate.queue.requestLimit, notice, now);
     gate.limitHeard.store(true);
-    gate.requestsLimited.store(gate.queue.requestLimit.rate > 0);
+    gate.requestLimit.store(gate.queue.requestLimit.rate);
 }
 
 void adoptRequestLimit(Gate &gate, double rate, TimePoint now)
@@ -20,12 +20,12 @@
     }
     const std::lock_guard lock(gate.queue.mutex);
     adoptRate(gate.queue.requestLimit, rate, now);
-    gate.requestsLimited.store(gate.queue.requestLimit.rate > 0);
+    gate.requestLimit.store(gate.queue.requestLimit.rate);
 }
 
 bool requestsLimited(const Gate &gate)
 {
-    return gate.requestsLimited.load();
+    return gate.requestLimit.load() > 0;
 }
 
 LimitedRequest::LimitedRequest(std::shared_ptr<Gate> gate, TimePoint now)
