--- a/src/agatedoor/membership/bundle_exchange_test.cpp
+++ b/src/agatedoor/membership/bundle_exchange_test.cpp
@@ -27,9 +27,9 @@
     std::string text = "generation = " + std::to_string(generation) + "\n";
     for (int i = 0; i < routeCount; ++i) {
         const std::string name = randomHex(random).substr(0, 9);
-        text += "[routes." + name + "]\nhost = \"catalogue-" + std::to_string(i % 40) + ".example\"\nprefix = \"/" + name
-            + "/\"\nservice = \"catalogue\"\nidempotent = true\nattempts = 3\ntimeout = 1500\npriority = \"high\"\nweight = "
-            + std::to_string(i == 700 ? generation : 1) + "\n";
+        text.append("[routes.").append(name).append("]\nhost = \"catalogue-").append(std::to_string(i % 40));
+        text.append(".example\"\nprefix = \"/").append(name).append("/\"\nservice = \"catalogue\"\nidempotent = true\nattempts = 3\n");
+        text.append("timeout = 1500\npriority = \"high\"\nweight = ").append(std::to_string(i == 700 ? generation : 1)).append("\n");
     }
     return text;
 }
--- a/tests/process/repeated_refusal_test.cpp
+++ b/tests/process/repeated_refusal_test.cpp
@@ -17,8 +17,8 @@
     deployment.rollOut("examples/deployments/statens_takstolsverk.toml");
     deployment.startNode({"owner", "sv-uppsala", "svealand"});
     std::atomic<int> refusals{0};
-    const std::string refusal = "HTTP/1.1 503 Busy\r\nAgatedoor-Outcome: not-run\r\nContent-Length: 0\r\n\r\n";
-    const std::string served = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+    std::string refusal = "HTTP/1.1 503 Busy\r\nAgatedoor-Outcome: not-run\r\nContent-Length: 0\r\n\r\n";
+    std::string served = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
     const Endpoint address{deployment.net() + ".78", 9100};
     const RawBackend backend(address, [&](std::size_t part) -> std::string {
         if (part == 0) {
