End a call to the store at its deadline also while bytes keep coming

Cause: http::async_read goes on as long as each read finds bytes at once; the stream's timer only ends a read that waits. So a call ended by its bound of bytes, not by its deadline, whenever the bytes take longer than that: on a slow or busy machine.

Change: the call reads in parts and checks the deadline between them. The head is bounded by its size, as before.

--- a/src/agatedoor/wire/http_call.cpp
+++ b/src/agatedoor/wire/http_call.cpp
@@ -90,8 +90,11 @@
     beast::flat_buffer buffer(maxUnparsedBytes);
     http::response_parser<http::string_body> parser;
     parser.body_limit(maxAnswerBytes);
-    co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
+    // The stream's own timer doesn't end a read that finds bytes at once.
+    while (!error && !parser.is_done() && !expired(deadline, Clock::now())) {
+        co_await http::async_read_some(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (error || !parser.is_done()) {
         co_return HttpError{HttpErrorKind::AnswerLost};
     }
     co_return fromBeast(parser.release());
