--- a/include/agatedoor/base/ids.hpp
+++ b/include/agatedoor/base/ids.hpp
@@ -49,6 +49,9 @@
 /// @brief Identifies one run of a node process; each restart has a greater value.
 /// Unit: microseconds since the Unix epoch at start.
 using Incarnation = Counter<struct IncarnationTag>;
+/// @brief Number of the store's restores from a copy, as the store tells it; 0 when it doesn't. Revisions and lease ids of different eras can't be
+/// compared, since a restored store gives them out again.
+using StoreEra = Counter<struct StoreEraTag>;
 /// @brief Hash of a route, the same on all nodes; 0 when the route is unknown. Two routes may share a value.
 using RouteKey = Counter<struct RouteKeyTag>;
 
--- a/include/agatedoor/state/store.hpp
+++ b/include/agatedoor/state/store.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agatedoor/base/ids.hpp"
 #include "agatedoor/base/result.hpp"
 #include "agatedoor/base/time.hpp"
 
@@ -52,6 +53,7 @@
 {
     std::vector<StoreValue> values;
     Revision revision = 0; ///< Revision of the store at the time of the read.
+    StoreEra era; ///< Era of that revision.
 };
 
 /// @brief One write of a transaction.
@@ -98,6 +100,7 @@
 {
     std::vector<StoreEvent> events;
     Revision revision = 0;
+    StoreEra era; ///< Era of that revision.
 };
 
 /// @brief Operations of the store. Each blocks at most until its deadline; a watch also ends on a stop request.
@@ -114,6 +117,8 @@
     std::function<StoreResult<Done>(LeaseId, Deadline)> revokeLease;
     /// Waits for the first changes of keys with a prefix at or after a revision.
     std::function<StoreResult<WatchReply>(const std::string &prefix, Revision from, Deadline, const std::stop_token &)> watch;
+    /// Newest era that a reply of the store has named; for any thread.
+    std::function<StoreEra()> newestEra = [] { return StoreEra{}; };
     /// Like range, but without the values.
     std::function<StoreResult<RangeReply>(const std::string &prefix, Deadline)> listKeys;
 };
--- a/src/agatedoor/control/store_sync.cpp
+++ b/src/agatedoor/control/store_sync.cpp
@@ -50,14 +50,24 @@
     return state;
 }
 
-/// The reply to a watch holds each change with its whole value, so that one which comes late is large.
-void logHeadChanges(const WatchReply &reply)
+std::int64_t loggable(StoreEra era)
+{
+    return static_cast<std::int64_t>(era.value);
+}
+
+/// The reply to a watch from revision @p from holds each change with its whole value, so that one which comes late is large.
+void logWatchReply(Revision from, const WatchReply &reply)
 {
     std::int64_t bytes = 0;
     for (const auto &event : reply.events) {
         bytes += static_cast<std::int64_t>(event.value.value.size());
     }
-    logLine(LogLevel::Info, "head-changed", {{"changes", static_cast<std::int64_t>(reply.events.size())}, {"bytes", bytes}, {"revision", reply.revision}});
+    logLine(LogLevel::Info, reply.events.empty() ? "head-unchanged" : "head-changed",
+            {{"changes", static_cast<std::int64_t>(reply.events.size())},
+             {"bytes", bytes},
+             {"from", from},
+             {"revision", reply.revision},
+             {"era", loggable(reply.era)}});
 }
 
 constexpr std::array callNames{
@@ -138,6 +148,7 @@
     if (m_storeLost.exchange(failed) != failed) {
         logLine(failed ? LogLevel::Warn : LogLevel::Info, failed ? "store-lost" : "store-regained", {{"call", std::string(wireName(call))}});
     }
+    logEra(call);
     if (!result) {
         ++m_failures;
         logLine(LogLevel::Warn, "store-call-failed", {{"call", std::string(wireName(call))}, {"error", std::string(wireName(result.error().kind))}});
@@ -145,6 +156,16 @@
     return result.has_value();
 }
 
+/// Logs that the store was restored, with the call whose reply told it first.
+void StoreSync::logEra(StoreCall call)
+{
+    const StoreEra era = m_store.newestEra();
+    const StoreEra before{m_loggedEra.exchange(era.value)};
+    if (before < era) {
+        logLine(LogLevel::Info, "store-era", {{"era_before", loggable(before)}, {"era", loggable(era)}, {"call", std::string(wireName(call))}});
+    }
+}
+
 /// Whether rendezvous hashing selects this node among the members of its region. Stopping members are left out.
 bool StoreSync::isChosen(const FleetRoster &roster, std::string_view purpose, std::size_t count) const
 {
@@ -341,6 +362,7 @@
     if (!recordResult(StoreCall::ReadHead, reply)) {
         return false;
     }
+    logLine(LogLevel::Info, "head-read", {{"revision", reply.value().revision}, {"era", loggable(reply.value().era)}});
     m_nextFullRead = Clock::now() + fullReadInterval;
     m_headRevision = reply.value().revision;
     for (const auto &value : reply.value().values) {
@@ -365,11 +387,9 @@
         m_headRevision = historyKept ? m_headRevision : 0;
         return false;
     }
+    logWatchReply(m_headRevision + 1, reply.value());
     m_headRevision = std::max(m_headRevision, reply.value().revision);
     m_headChanged = !reply.value().events.empty();
-    if (m_headChanged) {
-        logHeadChanges(reply.value());
-    }
     return applyNewestHead(reply.value().events);
 }
 
--- a/src/agatedoor/control/store_sync.hpp
+++ b/src/agatedoor/control/store_sync.hpp
@@ -79,6 +79,7 @@
     bool readAndApplyHead();
     bool watchHead();
     void countCall(StoreCall call);
+    void logEra(StoreCall call);
     Duration headPause();
     bool applyNewestHead(const std::vector<StoreEvent> &events);
     bool applyHead(const std::string &bytes);
@@ -110,6 +111,7 @@
     std::atomic<bool> m_watcher{false};
     std::atomic<bool> m_contact{false};
     std::atomic<bool> m_reachable{false};
+    std::atomic<std::uint64_t> m_loggedEra{0}; ///< Era of the store that was last logged.
     std::atomic<bool> m_storeLost{false}; ///< Whether the store was last logged as lost.
     std::mutex m_mutex;
     std::condition_variable m_stopSignal;
