--- a/include/agatedoor/membership/membership.hpp
+++ b/include/agatedoor/membership/membership.hpp
@@ -76,6 +76,7 @@
     bool leaving = false; ///< This node announces itself as left.
     FleetTable table; ///< All members, this node included.
     Generation generation; ///< Bundle generation in force on this node; carried by every message.
+    StoreEra storeEra; ///< Newest era of the store that this node knows; carried by every message.
     std::map<NodeId, int> queuedUpdates; ///< Members whose update is to be gossiped, with the number of transmissions left.
     int generationTransmissions = 0; ///< Transmissions left for a new generation.
     std::vector<NodeId> probeOrder; ///< Members left to probe in the current round.
@@ -111,7 +112,7 @@
 /// @brief Marks this node as left and gossips that to several members immediately.
 MembershipOutput leaveFleet(Membership &membership, TimePoint now, Random &random);
 
-/// @brief Sets the bundle generation in force and gossips it to several members immediately.
+/// @brief Sets the bundle generation in force and gossips it, with the era of the store, to several members immediately.
 MembershipOutput announceGeneration(Membership &membership, Generation generation, TimePoint now, Random &random);
 
 /// @brief Adds addresses of nodes through which to join the fleet.
--- a/include/agatedoor/membership/peer_message.hpp
+++ b/include/agatedoor/membership/peer_message.hpp
@@ -28,6 +28,7 @@
     std::uint64_t sequence = 0; ///< Matches an acknowledgement with its ping.
     bool repeatedPing = false; ///< The first ping wasn't acknowledged, so the receiver's connection to the sender may be dead.
     Generation generation; ///< Bundle generation in force at the sender.
+    StoreEra storeEra; ///< Newest era of the store that the sender knows.
     Endpoint target; ///< Ping request: address to ping.
     NodeId targetNode; ///< Ping request: the member to ping. Acknowledgement: the member that answered.
     std::vector<std::uint64_t> buckets; ///< Sync request: digest of the sender's table.
--- a/include/agatedoor/state/store.hpp
+++ b/include/agatedoor/state/store.hpp
@@ -23,6 +23,7 @@
     Busy, ///< The store refused the call temporarily; nothing was applied, and keys and leases that the call names are unchanged.
     OutcomeUnknown, ///< The call was sent but no answer came; a write may have been applied.
     Malformed, ///< The answer can't be parsed; a write may have been applied.
+    Restored, ///< The store was restored from a copy since the era that the call names; a write may have been applied.
 };
 
 /// @brief Error of a call to the store.
@@ -40,6 +41,20 @@
 /// @brief Identifier of a lease at the store; 0 means none.
 using LeaseId = std::int64_t;
 
+/// @brief A lease, with the era in which it was granted.
+struct Lease
+{
+    LeaseId id = 0;
+    StoreEra era;
+};
+
+/// @brief A revision of the store, with the era in which it was read.
+struct StorePosition
+{
+    Revision revision = 0;
+    StoreEra era;
+};
+
 /// @brief Key and value in the store.
 struct StoreValue
 {
@@ -78,13 +93,14 @@
     std::vector<StorePut> puts;
     std::vector<std::string> removes = {}; ///< Keys that are deleted together with the writes.
     std::vector<std::string> readsOnConflict = {}; ///< Keys that are read, all at one revision, if a condition doesn't hold.
+    StoreEra era = {}; ///< Era of the revisions and leases named above; a store in another era answers Restored.
 };
 
 /// @brief Result of a transaction.
 struct TransactionReply
 {
     bool applied = false; ///< The conditions held and the writes were applied.
-    Revision revision = 0;
+    Revision revision = 0; ///< Of the writes, when they were applied.
     std::vector<StoreValue> found = {}; ///< Values of readsOnConflict if a condition didn't hold.
 };
 
@@ -112,11 +128,12 @@
     std::function<StoreResult<RangeReply>(const std::string &prefix, Deadline)> rangeStale;
     std::function<StoreResult<TransactionReply>(const StoreTransaction &, Deadline)> transact;
     std::function<StoreResult<Done>(const std::string &key, Deadline)> remove;
-    std::function<StoreResult<LeaseId>(std::chrono::seconds timeToLive, Deadline)> grantLease;
-    std::function<StoreResult<Done>(LeaseId, Deadline)> keepLease;
-    std::function<StoreResult<Done>(LeaseId, Deadline)> revokeLease;
-    /// Waits for the first changes of keys with a prefix at or after a revision.
-    std::function<StoreResult<WatchReply>(const std::string &prefix, Revision from, Deadline, const std::stop_token &)> watch;
+    std::function<StoreResult<Lease>(std::chrono::seconds timeToLive, Deadline)> grantLease;
+    std::function<StoreResult<Done>(const Lease &, Deadline)> keepLease;
+    /// Waits for the first changes of keys with a prefix at or after a position.
+    std::function<StoreResult<WatchReply>(const std::string &prefix, const StorePosition &from, Deadline, const std::stop_token &)> watch;
+    /// Like watch, but doesn't wait for a change, so that the reply soon tells whether the position still means the same.
+    std::function<StoreResult<WatchReply>(const std::string &prefix, const StorePosition &from, Deadline)> poll;
     /// Newest era that a reply of the store has named; for any thread.
     std::function<StoreEra()> newestEra = [] { return StoreEra{}; };
     /// Like range, but without the values.
--- a/src/agatedoor/control/node_state.hpp
+++ b/src/agatedoor/control/node_state.hpp
@@ -5,6 +5,7 @@
 #include "agatedoor/proxy/edge_headers.hpp"
 #include "agatedoor/release/bundle_controller.hpp"
 #include "agatedoor/state/backend_notices.hpp"
+#include "agatedoor/state/newest_era.hpp"
 #include "agatedoor/state/path_delays.hpp"
 #include "agatedoor/state/settings.hpp"
 #include "agatedoor/state/snapshot.hpp"
@@ -43,6 +44,7 @@
     LocalBackendController localBackends;
     Snapshot<FleetView> fleet;
     PathDelays pathDelays;
+    NewestEra storeEra; ///< Known from the store's own replies or from peers.
     BackendNotices notices; ///< What backend servers anywhere said in the answers that this node passed on.
     std::atomic<bool> stopping{false}; ///< The node is not ready, and callers are asked to connect elsewhere.
     std::atomic<bool> refusingPeers{false}; ///< Peers are told that this node stops, and requests from other nodes are refused.
--- a/src/agatedoor/control/peer_sync.cpp
+++ b/src/agatedoor/control/peer_sync.cpp
@@ -174,7 +174,7 @@
         if (recordChanged) {
             applyOutput(updateSelf(m_membership, currentRecord(), now, m_random));
         }
-        announceNewGeneration(now);
+        announceNews(now);
         if (now >= nextTick) {
             nextTick = now + tickInterval;
             drainBackendsThatSaidTheyLeave();
@@ -203,6 +203,9 @@
         ++m_stats.malformed;
         return;
     }
+    if (m_node.storeEra.raise(message->storeEra)) {
+        logLine(LogLevel::Info, "store-era", {{"era", static_cast<std::int64_t>(message->storeEra.value)}, {"peer", message->from.value}});
+    }
     applyOutput(receive(m_membership, *message, now, m_random));
     if (message->kind == PeerMessageKind::BundleRequest) {
         sendBundle(*message, now);
@@ -252,11 +255,15 @@
     recordRefusedReply(m_exchange, reply, now);
 }
 
-void PeerSync::announceNewGeneration(TimePoint now)
+void PeerSync::announceNews(TimePoint now)
 {
     const auto inForce = m_node.bundles.current();
-    if (inForce->head.generation > m_membership.generation) {
+    const bool newer = inForce->head.generation > m_membership.generation;
+    if (newer) {
         recordInForce(m_exchange, *inForce);
+    }
+    const StoreEra eraBefore = std::exchange(m_membership.storeEra, m_node.storeEra.value());
+    if (newer || eraBefore < m_membership.storeEra) {
         applyOutput(announceGeneration(m_membership, inForce->head.generation, now, m_random));
     }
 }
--- a/src/agatedoor/control/peer_sync.hpp
+++ b/src/agatedoor/control/peer_sync.hpp
@@ -49,7 +49,7 @@
     /// @brief Announces a change of this node's record to peers at once, without waiting for the next tick.
     void notifyRecordChanged();
 
-    /// @brief Announces to peers at once that another bundle generation is in force on this node.
+    /// @brief Announces to peers at once that another bundle generation is in force on this node, or that it knows a newer era of the store.
     void notifyGenerationChanged();
 
     /// @brief Adds addresses of nodes through which to join the fleet.
@@ -72,7 +72,7 @@
     void requestNewerBundle(const PeerMessage &message, TimePoint now);
     void sendBundle(const PeerMessage &request, TimePoint now);
     void applyBundleReply(const PeerMessage &reply, std::size_t bytes, TimePoint now);
-    void announceNewGeneration(TimePoint now);
+    void announceNews(TimePoint now);
     void applyOutput(MembershipOutput output);
     void publishView(TimePoint now);
     void logMemberChanges();
--- a/src/agatedoor/control/store_sync.cpp
+++ b/src/agatedoor/control/store_sync.cpp
@@ -21,7 +21,9 @@
 constexpr Duration followPeersInterval = std::chrono::seconds(1); ///< While peers deliver the bundles.
 constexpr Duration waitForBundleInterval = std::chrono::milliseconds(50); ///< While this node has no bundle.
 constexpr std::chrono::seconds callTimeout{2};
-constexpr std::chrono::milliseconds stopCallTimeout{200}; ///< For the call that revokes the lease at a stop.
+constexpr std::chrono::milliseconds stopCallTimeout{200}; ///< For the call that removes the contact key at a stop.
+/// Between looks at the newest era in a longer pause. Nodes look at different times, which spreads their calls after a restore.
+constexpr Duration eraLookInterval = std::chrono::milliseconds(500);
 constexpr std::chrono::seconds watchTimeout{25}; ///< Bounds how long a dead connection goes unnoticed; meanwhile peers announce new generations.
 constexpr std::chrono::seconds fullReadInterval{60}; ///< Between full reads of the head, beside the watch.
 constexpr Duration minChangePause = std::chrono::milliseconds(200);
@@ -71,10 +73,10 @@
 }
 
 constexpr std::array callNames{
-    std::pair{StoreCall::ReadContacts, std::string_view{"read-contacts"}}, std::pair{StoreCall::GrantLease, std::string_view{"grant-lease"}},
-    std::pair{StoreCall::PutContact, std::string_view{"put-contact"}},     std::pair{StoreCall::KeepLease, std::string_view{"keep-lease"}},
-    std::pair{StoreCall::RevokeLease, std::string_view{"revoke-lease"}},   std::pair{StoreCall::ReadHead, std::string_view{"read-head"}},
-    std::pair{StoreCall::WatchHead, std::string_view{"watch-head"}},       std::pair{StoreCall::ReadBundle, std::string_view{"read-bundle"}},
+    std::pair{StoreCall::ReadContacts, std::string_view{"read-contacts"}},   std::pair{StoreCall::GrantLease, std::string_view{"grant-lease"}},
+    std::pair{StoreCall::PutContact, std::string_view{"put-contact"}},       std::pair{StoreCall::KeepLease, std::string_view{"keep-lease"}},
+    std::pair{StoreCall::RemoveContact, std::string_view{"remove-contact"}}, std::pair{StoreCall::ReadHead, std::string_view{"read-head"}},
+    std::pair{StoreCall::WatchHead, std::string_view{"watch-head"}},         std::pair{StoreCall::ReadBundle, std::string_view{"read-bundle"}},
 };
 static_assert(callNames.size() == storeCallCount);
 
@@ -109,8 +111,8 @@
     {
         const std::lock_guard lock(m_mutex);
         m_stop = true;
+        m_watchStop.request_stop();
     }
-    m_stopWatch.request_stop();
     m_stopSignal.notify_all();
 }
 
@@ -132,23 +134,42 @@
     return !m_stopSignal.wait_for(lock, time, [this] { return m_stop; });
 }
 
+/// Like sleepFor, but ends early when the store turns out to have been restored.
+bool StoreSync::sleepUnlessRestored(Duration time)
+{
+    const StoreEra era = m_node.storeEra.value();
+    const Deadline end = deadlineAfter(Clock::now(), time);
+    do {
+        if (!sleepFor(std::min(remaining(end, Clock::now()), eraLookInterval))) {
+            return false;
+        }
+    } while (!expired(end, Clock::now()) && m_node.storeEra.value() == era);
+    return true;
+}
+
 Duration StoreSync::nextBackOff(int &failed, Random &random) const
 {
     const Duration limit = minBackOff * (1 << std::min(failed++, maxBackOffDoublings));
     return minBackOff / 2 + uniformTime(random, limit);
 }
 
-/// Counts and logs @p result of a call. The store counts as lost unless it succeeded or rejected the call.
+/// Whether the store answered a call that failed with @p error, and will answer others.
+bool isAnswered(StoreErrorKind error)
+{
+    return error == StoreErrorKind::Rejected || error == StoreErrorKind::Restored;
+}
+
+/// Counts and logs @p result of a call. The store counts as lost unless it answered the call.
 template <typename T>
 bool StoreSync::recordResult(StoreCall call, const StoreResult<T> &result)
 {
     countCall(call);
-    const bool failed = !result && result.error().kind != StoreErrorKind::Rejected;
+    const bool failed = !result && !isAnswered(result.error().kind);
     m_reachable = !failed;
     if (m_storeLost.exchange(failed) != failed) {
         logLine(failed ? LogLevel::Warn : LogLevel::Info, failed ? "store-lost" : "store-regained", {{"call", std::string(wireName(call))}});
     }
-    logEra(call);
+    noteEra(call);
     if (!result) {
         ++m_failures;
         logLine(LogLevel::Warn, "store-call-failed", {{"call", std::string(wireName(call))}, {"error", std::string(wireName(result.error().kind))}});
@@ -156,13 +177,13 @@
     return result.has_value();
 }
 
-/// Logs that the store was restored, with the call whose reply told it first.
-void StoreSync::logEra(StoreCall call)
+/// Takes over the era that replies of the store name. Peers learn it with the next messages.
+void StoreSync::noteEra(StoreCall call)
 {
     const StoreEra era = m_store.newestEra();
-    const StoreEra before{m_loggedEra.exchange(era.value)};
-    if (before < era) {
-        logLine(LogLevel::Info, "store-era", {{"era_before", loggable(before)}, {"era", loggable(era)}, {"call", std::string(wireName(call))}});
+    if (m_node.storeEra.raise(era)) {
+        logLine(LogLevel::Info, "store-era", {{"era", loggable(era)}, {"call", std::string(wireName(call))}});
+        m_peers.notifyGenerationChanged();
     }
 }
 
@@ -183,10 +204,12 @@
 void StoreSync::runContactThread()
 {
     Duration pause = uniformTime(m_contactRandom, startJitter);
-    while (sleepFor(pause)) {
+    while (sleepUnlessRestored(pause)) {
+        endWatchOfOtherEra();
+        dropLeaseOfOtherEra();
         pause = contactRound();
     }
-    revokeLeaseAtStop();
+    removeContactAtStop();
 }
 
 Duration StoreSync::contactRound()
@@ -195,7 +218,7 @@
     ContactView view;
     view.isolated = roster.present.size() == 1;
     view.chosen = isChosen(roster, "contact", contactOptions.perRegion);
-    view.registered = m_lease != 0;
+    view.registered = m_registered;
     const ContactRead read = dueContactRead(m_contactRole, view, contactOptions, m_contactRandom, Clock::now());
     if (read != ContactRead::None && !readContacts(read)) {
         return nextBackOff(m_contactFailures, m_contactRandom);
@@ -242,8 +265,9 @@
     }
     const auto renewed = m_store.keepLease(m_lease, callDeadline());
     if (!recordResult(StoreCall::KeepLease, renewed)) {
-        m_lease = renewed.error().kind == StoreErrorKind::Rejected ? 0 : m_lease; // After Busy the lease may still exist.
-        m_contact = m_lease != 0;
+        if (renewed.error().kind == StoreErrorKind::Rejected) { // After Busy the lease may still exist.
+            abandonLease();
+        }
         return false;
     }
     m_nextLeaseRenewal = Clock::now() + leaseRenewalInterval;
@@ -257,6 +281,7 @@
         return false;
     }
     m_lease = granted.value();
+    m_registered = true;
     m_publishedIncarnation = {};
     m_nextLeaseRenewal = Clock::now() + leaseRenewalInterval;
     return true;
@@ -265,7 +290,7 @@
 /// Keeps this node's contact key in the store under a lease. The key is rewritten when the node's incarnation changed.
 bool StoreSync::maintainContactKey()
 {
-    if (!(m_lease == 0 ? acquireLease() : renewLeaseIfDue())) {
+    if (!(m_lease.id == 0 ? acquireLease() : renewLeaseIfDue())) {
         return false;
     }
     const Incarnation incarnation{m_node.incarnation.value.load()};
@@ -278,28 +303,48 @@
     record.zone = m_node.settings.zone;
     record.region = m_node.settings.region;
     record.gossip = m_node.settings.gossip;
-    const auto written = m_store.transact({{}, {{std::string(nodePrefix) + record.node.value, encodeMember(record), m_lease}}}, callDeadline());
+    const StoreTransaction write{.conditions = {}, .puts = {{contactKey(), encodeMember(record), m_lease.id}}, .era = m_lease.era};
+    const auto written = m_store.transact(write, callDeadline());
     if (!recordResult(StoreCall::PutContact, written)) {
         return false;
     }
     m_publishedIncarnation = record.incarnation;
+    m_contactRevision = written.value().revision;
     m_contact = true;
     return true;
 }
 
-/// Stops renewing the lease. The contact key remains until the lease expires; since it names a running node, it does no harm and revoking it
+/// Gives up a lease of before a restore, which may be another node's by now, and the contact key with it, which may be gone. The next round
+/// registers this node anew.
+void StoreSync::dropLeaseOfOtherEra()
+{
+    if (m_lease.id != 0 && m_lease.era != m_node.storeEra.value()) {
+        m_lease = {};
+        m_contact = false;
+    }
+}
+
+/// Stops renewing the lease. The contact key remains until the lease expires; since it names a running node, it does no harm and removing it
 /// isn't worth a call.
 void StoreSync::abandonLease()
 {
-    m_lease = 0;
+    m_lease = {};
+    m_registered = false;
     m_contact = false;
 }
 
-/// Revokes the lease, with a short timeout so as not to delay the stop. If the call fails, the lease expires by itself.
-void StoreSync::revokeLeaseAtStop()
+std::string StoreSync::contactKey() const
 {
-    if (m_lease != 0) {
-        recordResult(StoreCall::RevokeLease, m_store.revokeLease(m_lease, deadlineAfter(Clock::now(), stopCallTimeout)));
+    return std::string(nodePrefix) + m_node.settings.node.value;
+}
+
+/// Removes the contact key, with a short timeout so as not to delay the stop. If the call fails, the key goes with its lease, which expires by
+/// itself. The lease isn't revoked: after a restore its id may be another node's.
+void StoreSync::removeContactAtStop()
+{
+    if (m_contact) {
+        const StoreTransaction removal{.conditions = {{contactKey(), m_contactRevision}}, .puts = {}, .removes = {contactKey()}, .era = m_lease.era};
+        recordResult(StoreCall::RemoveContact, m_store.transact(removal, deadlineAfter(Clock::now(), stopCallTimeout)));
         abandonLease();
     }
 }
@@ -307,7 +352,7 @@
 void StoreSync::runHeadThread()
 {
     Duration pause = uniformTime(m_headRandom, startJitter);
-    while (sleepFor(pause)) {
+    while (sleepUnlessRestored(pause)) {
         pause = headRound();
     }
 }
@@ -335,12 +380,14 @@
     if (m_watcher.exchange(watching) != watching) {
         logLine(LogLevel::Info, "head-watch", {{"outcome", std::string(watching ? "begun" : "ended")}});
     }
-    m_headRevision = m_watcher ? m_headRevision : 0;
+    if (!watching || m_headPosition.era != m_node.storeEra.value()) {
+        m_headPosition = {};
+    }
     if (action == HeadAction::None) {
         return m_headWatch.joined && hasBundle() ? followPeersInterval : waitForBundleInterval;
     }
     m_headChanged = false;
-    const HeadKnowledge knowledge{m_headRevision != 0, {m_nextFullRead}, m_node.bundles.current()->head.generation, m_headGeneration};
+    const HeadKnowledge knowledge{m_headPosition.revision != 0, {m_nextFullRead}, m_node.bundles.current()->head.generation, m_headGeneration};
     if (!(shouldReadHead(knowledge, Clock::now()) ? readAndApplyHead() : watchHead())) {
         recordFailedRead(m_headWatch, Clock::now());
         return nextBackOff(m_headFailures, m_headRandom);
@@ -364,31 +411,73 @@
     }
     logLine(LogLevel::Info, "head-read", {{"revision", reply.value().revision}, {"era", loggable(reply.value().era)}});
     m_nextFullRead = Clock::now() + fullReadInterval;
-    m_headRevision = reply.value().revision;
+    m_headPosition = {reply.value().revision, reply.value().era};
+    m_headPositionUnconfirmed = false;
     for (const auto &value : reply.value().values) {
         if (value.key == m_releases.key && !applyHead(value.value)) {
-            m_headRevision = 0;
+            m_headPosition = {};
             return false;
         }
     }
     m_headGeneration = std::max(m_headGeneration, before);
-    return true;
+    return m_headPosition.era == m_node.storeEra.value(); // Otherwise the reply crossed one of a newer era.
+}
+
+/// Lets the watch that follows be ended by endWatchOfOtherEra() and by a stop.
+std::stop_token StoreSync::beginWatch()
+{
+    const std::lock_guard lock(m_mutex);
+    m_watchStop = {};
+    m_watchedEra = m_headPosition.era;
+    if (m_stop) {
+        m_watchStop.request_stop();
+    }
+    return m_watchStop.get_token();
+}
+
+/// Ends a watch that began before a restore: the store may never answer it.
+void StoreSync::endWatchOfOtherEra()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_watchedEra != m_node.storeEra.value()) {
+        m_watchStop.request_stop();
+    }
+}
+
+StoreResult<WatchReply> StoreSync::askForHeadChanges()
+{
+    const StorePosition from{m_headPosition.revision + 1, m_headPosition.era};
+    if (m_headPositionUnconfirmed) {
+        return m_store.poll(m_releases.key, from, callDeadline());
+    }
+    return m_store.watch(m_releases.key, from, deadlineAfter(Clock::now(), watchTimeout), beginWatch());
+}
+
+/// Keeps the position for the next watch unless the store has dropped the history since, or has been restored.
+/// @return false
+bool StoreSync::recordFailedWatch(StoreErrorKind error)
+{
+    m_headPositionUnconfirmed = true;
+    if (isAnswered(error) || error == StoreErrorKind::Malformed) {
+        m_headPosition = {};
+        m_headFailures = 0; // The store is back, so the full read need not wait long.
+    }
+    return false;
 }
 
 bool StoreSync::watchHead()
 {
-    const auto reply = m_store.watch(m_releases.key, m_headRevision + 1, deadlineAfter(Clock::now(), watchTimeout), m_stopWatch.get_token());
-    if (m_stopWatch.stop_requested()) {
+    const auto reply = askForHeadChanges();
+    if (!reply && m_watchStop.stop_requested()) {
         countCall(StoreCall::WatchHead);
         return true;
     }
     if (!recordResult(StoreCall::WatchHead, reply)) {
-        const bool historyKept = reply.error().kind != StoreErrorKind::Rejected && reply.error().kind != StoreErrorKind::Malformed;
-        m_headRevision = historyKept ? m_headRevision : 0;
-        return false;
+        return recordFailedWatch(reply.error().kind);
     }
-    logWatchReply(m_headRevision + 1, reply.value());
-    m_headRevision = std::max(m_headRevision, reply.value().revision);
+    m_headPositionUnconfirmed = false;
+    logWatchReply(m_headPosition.revision + 1, reply.value());
+    m_headPosition.revision = std::max(m_headPosition.revision, reply.value().revision);
     m_headChanged = !reply.value().events.empty();
     return applyNewestHead(reply.value().events);
 }
@@ -404,9 +493,9 @@
         if (applyHead(event->value.value)) {
             return true;
         }
-        m_headRevision = 0;
+        m_headPosition = {};
     }
-    return m_headRevision != 0;
+    return m_headPosition.revision != 0;
 }
 
 bool StoreSync::applyHead(const std::string &bytes)
--- a/src/agatedoor/control/store_sync.hpp
+++ b/src/agatedoor/control/store_sync.hpp
@@ -24,7 +24,7 @@
     GrantLease,
     PutContact,
     KeepLease,
-    RevokeLease,
+    RemoveContact,
     ReadHead,
     WatchHead,
     ReadBundle,
@@ -58,7 +58,7 @@
     StoreSync &operator=(const StoreSync &) = delete;
 
     /// @brief Starts the stop without waiting for it: a watch in progress is cancelled, another call runs to its end.
-    /// The contact thread still revokes its lease.
+    /// The contact thread still removes its contact key.
     void beginStop();
 
     StoreSyncStats stats() const;
@@ -70,21 +70,28 @@
     bool maintainContactKey();
     bool acquireLease();
     bool renewLeaseIfDue();
+    void dropLeaseOfOtherEra();
     void abandonLease();
-    void revokeLeaseAtStop();
+    std::string contactKey() const;
+    void removeContactAtStop();
     void runHeadThread();
     Duration headRound();
     bool hasBundle() const;
     HeadAction dueHeadAction();
     bool readAndApplyHead();
     bool watchHead();
+    StoreResult<WatchReply> askForHeadChanges();
+    bool recordFailedWatch(StoreErrorKind error);
+    std::stop_token beginWatch();
+    void endWatchOfOtherEra();
     void countCall(StoreCall call);
-    void logEra(StoreCall call);
+    void noteEra(StoreCall call);
     Duration headPause();
     bool applyNewestHead(const std::vector<StoreEvent> &events);
     bool applyHead(const std::string &bytes);
     bool isChosen(const FleetRoster &roster, std::string_view purpose, std::size_t count) const;
     bool sleepFor(Duration time);
+    bool sleepUnlessRestored(Duration time);
     Duration nextBackOff(int &failed, Random &random) const;
     template <typename T>
     bool recordResult(StoreCall call, const StoreResult<T> &result);
@@ -93,13 +100,16 @@
     PeerSync &m_peers;
     Store m_store;
     ReleaseSource m_releases;
-    LeaseId m_lease = 0;
+    Lease m_lease;
+    bool m_registered = false; ///< This node is to keep a contact key, also while a lease for it has to be granted anew.
+    Revision m_contactRevision = 0; ///< Revision at which the contact key was written.
     Incarnation m_publishedIncarnation;
     ContactRole m_contactRole;
     HeadWatchState m_headWatch;
     TimePoint m_nextLeaseRenewal; ///< When the lease is to be renewed.
     TimePoint m_nextFullRead;
-    Revision m_headRevision = 0; ///< Store revision up to which changes of the head are known; 0 when the head has to be read in full.
+    StorePosition m_headPosition; ///< Up to which changes of the head are known; revision 0 when the head has to be read in full.
+    bool m_headPositionUnconfirmed = false; ///< The last watch failed, so the store may have been restored since.
     Generation m_headGeneration; ///< Newest generation read from the store, or in force before the last full read.
     bool m_headChanged = false; ///< The last watch returned a change.
     int m_contactFailures = 0;
@@ -111,11 +121,11 @@
     std::atomic<bool> m_watcher{false};
     std::atomic<bool> m_contact{false};
     std::atomic<bool> m_reachable{false};
-    std::atomic<std::uint64_t> m_loggedEra{0}; ///< Era of the store that was last logged.
     std::atomic<bool> m_storeLost{false}; ///< Whether the store was last logged as lost.
     std::mutex m_mutex;
     std::condition_variable m_stopSignal;
-    std::stop_source m_stopWatch;
+    std::stop_source m_watchStop; ///< Ends the watch in progress; guarded by m_mutex.
+    StoreEra m_watchedEra; ///< Era that the watch in progress is of; guarded by m_mutex.
     bool m_stop = false;
     std::thread m_contactThread;
     std::thread m_headThread;
--- a/src/agatedoor/membership/membership_gossip.cpp
+++ b/src/agatedoor/membership/membership_gossip.cpp
@@ -127,6 +127,7 @@
     message.region = membership.self.region;
     message.replyTo = membership.self.gossip;
     message.generation = membership.generation;
+    message.storeEra = membership.storeEra;
     return message;
 }
 
--- a/src/agatedoor/membership/peer_message.cpp
+++ b/src/agatedoor/membership/peer_message.cpp
@@ -71,6 +71,7 @@
     encoded.set_sequence(message.sequence);
     encoded.set_repeated_ping(message.repeatedPing);
     encoded.set_generation(message.generation.value);
+    encoded.set_store_era(message.storeEra.value);
     if (message.kind == PeerMessageKind::PingRequest) {
         encodeEndpoint(message.target, *encoded.mutable_target());
     }
@@ -110,6 +111,7 @@
     message.sequence = encoded.sequence();
     message.repeatedPing = encoded.repeated_ping();
     message.generation = {encoded.generation()};
+    message.storeEra = {encoded.store_era()};
     message.target = decodeEndpoint(encoded.target());
     message.targetNode = {encoded.target_node()};
     message.buckets.assign(encoded.buckets().begin(), encoded.buckets().end());
--- a/src/agatedoor/state/store.cpp
+++ b/src/agatedoor/state/store.cpp
@@ -15,6 +15,8 @@
         return "outcome-unknown";
     case StoreErrorKind::Malformed:
         return "malformed";
+    case StoreErrorKind::Restored:
+        return "restored";
     }
     return "unnamed";
 }
--- a/src/agatedoor/wire/endless_answer_test.cpp
+++ b/src/agatedoor/wire/endless_answer_test.cpp
@@ -56,7 +56,7 @@
 
 bool watchBringsEvents(const Store &store, Deadline deadline)
 {
-    const auto reply = store.watch("agatedoor/", 1, deadline, std::stop_token{});
+    const auto reply = store.watch("agatedoor/", {1, {}}, deadline, std::stop_token{});
     return reply.has_value() && !reply.value().events.empty();
 }
 
--- a/src/agatedoor/wire/etcd_store.cpp
+++ b/src/agatedoor/wire/etcd_store.cpp
@@ -259,7 +259,7 @@
     return Done{};
 }
 
-StoreResult<LeaseId> grantLease(const std::vector<Endpoint> &endpoints, std::chrono::seconds timeToLive, Deadline deadline)
+StoreResult<Lease> grantLease(const std::vector<Endpoint> &endpoints, std::chrono::seconds timeToLive, Deadline deadline)
 {
     const json::object body{{"TTL", std::to_string(timeToLive.count())}};
     BOOST_OUTCOME_TRY(const json::object reply, call(endpoints, "/v3/lease/grant", body, deadline));
@@ -267,12 +267,12 @@
     if (lease == 0) {
         return StoreError{StoreErrorKind::Malformed, statusOk};
     }
-    return lease;
+    return Lease{lease, {}};
 }
 
-StoreResult<Done> keepLease(const std::vector<Endpoint> &endpoints, LeaseId lease, Deadline deadline)
+StoreResult<Done> keepLease(const std::vector<Endpoint> &endpoints, const Lease &lease, Deadline deadline)
 {
-    const json::object body{{"ID", std::to_string(lease)}};
+    const json::object body{{"ID", std::to_string(lease.id)}};
     BOOST_OUTCOME_TRY(const json::object reply, call(endpoints, "/v3/lease/keepalive", body, deadline));
     const json::object *result = member(reply, "result");
     if (result == nullptr || number(*result, "TTL") <= 0) {
@@ -281,12 +281,6 @@
     return Done{};
 }
 
-StoreResult<Done> revokeLease(const std::vector<Endpoint> &endpoints, LeaseId lease, Deadline deadline)
-{
-    BOOST_OUTCOME_TRYV2(auto &&, call(endpoints, "/v3/lease/revoke", {{"ID", std::to_string(lease)}}, deadline));
-    return Done{};
-}
-
 constexpr std::size_t maxWatchLineBytes = 16UL * 1024 * 1024; ///< As much as any other answer of the store may have.
 
 /// Collects whole JSON lines of a watch stream.
@@ -346,12 +340,13 @@
     }
 };
 
-StoreResult<WatchReply> watch(const std::vector<Endpoint> &endpoints, const std::string &prefix, Revision from, Deadline deadline, const std::stop_token &stop)
+StoreResult<WatchReply> watch(const std::vector<Endpoint> &endpoints, const std::string &prefix, const StorePosition &from, Deadline deadline,
+                              const std::stop_token &stop)
 {
     const json::object create{
         {"key", toBase64(prefix)},
         {"range_end", toBase64(prefixEnd(prefix))},
-        {"start_revision", std::to_string(from)},
+        {"start_revision", std::to_string(from.revision)},
     };
     const json::object body{{"create_request", create}};
     const HttpRequest request{"POST", "/v3/watch", {{"Content-Type", "application/json"}}, json::serialize(body)};
@@ -385,11 +380,11 @@
     store.transact = [endpoints](const StoreTransaction &transaction, Deadline deadline) { return transact(endpoints, transaction, deadline); };
     store.remove = [endpoints](const std::string &key, Deadline deadline) { return removeKey(endpoints, key, deadline); };
     store.grantLease = [endpoints](std::chrono::seconds timeToLive, Deadline deadline) { return grantLease(endpoints, timeToLive, deadline); };
-    store.keepLease = [endpoints](LeaseId lease, Deadline deadline) { return keepLease(endpoints, lease, deadline); };
-    store.revokeLease = [endpoints](LeaseId lease, Deadline deadline) { return revokeLease(endpoints, lease, deadline); };
-    store.watch = [endpoints](const std::string &prefix, Revision from, Deadline deadline, const std::stop_token &stop) {
+    store.keepLease = [endpoints](const Lease &lease, Deadline deadline) { return keepLease(endpoints, lease, deadline); };
+    store.watch = [endpoints](const std::string &prefix, const StorePosition &from, Deadline deadline, const std::stop_token &stop) {
         return watch(endpoints, prefix, from, deadline, stop);
     };
+    store.poll = [endpoints](const std::string &prefix, const StorePosition &from, Deadline deadline) { return watch(endpoints, prefix, from, deadline, {}); };
     return store;
 }
 
--- a/src/agatedoor/wire/etcd_store_test.cpp
+++ b/src/agatedoor/wire/etcd_store_test.cpp
@@ -73,14 +73,14 @@
     section("a watch whose history was dropped was refused, not quiet", [&] {
         server.set(answer(R"({"result":{"header":{"revision":"9"},"created":true,"canceled":true,"compact_revision":"9"}})"
                           "\n"));
-        const auto reply = store.watch("key", 1, soon(), {});
+        const auto reply = store.watch("key", {1, {}}, soon(), {});
         ASSERT_FALSE(reply);
         EXPECT_EQ(reply.error().kind, StoreErrorKind::Rejected);
     });
     section("a watch that ends without events is quiet", [&] {
         server.set(answer(R"({"result":{"header":{"revision":"9"},"created":true}})"
                           "\n"));
-        const auto reply = store.watch("key", 1, soon(), {});
+        const auto reply = store.watch("key", {1, {}}, soon(), {});
         ASSERT_TRUE(reply);
         EXPECT_TRUE(reply.value().events.empty());
     });
@@ -97,9 +97,9 @@
         EXPECT_TRUE(!range || range.value().revision > 0);
         const auto written = store.transact(transactionWithRead(), soon());
         EXPECT_TRUE(!written || written.value().revision > 0);
-        (void)store.watch("key", 1, soon(), {});
+        (void)store.watch("key", {1, {}}, soon(), {});
         (void)store.grantLease(std::chrono::seconds(1), soon());
-        (void)store.keepLease(1, soon());
+        (void)store.keepLease({1, {}}, soon());
     }
 }
 
