--- a/include/agatedoor/state/store.hpp
+++ b/include/agatedoor/state/store.hpp
@@ -84,6 +84,8 @@
 {
     std::string key;
     Revision modRevision = 0;
+    /// The key also has this value, since a store that was restored from a copy gives revisions out again. Not every store can check it.
+    std::optional<std::string> value = {};
 };
 
 /// @brief Writes that are applied atomically if all conditions hold.
--- a/src/agatedoor/release/clean_up.cpp
+++ b/src/agatedoor/release/clean_up.cpp
@@ -24,7 +24,7 @@
 /// The store contents that a clean-up decides by.
 struct Inventory
 {
-    Revision headRevision = 0;
+    StoreValue head;
     std::vector<StoredGeneration> superseded;
     std::vector<StoredGeneration> kept;
     KeyRevisions bundles;
@@ -72,7 +72,7 @@
 Result<Inventory, ReleaseError> readInventory(const Store &store, const StoreValue &stored, const HeadRecord &head, std::uint64_t kept, Deadline deadline)
 {
     Inventory inventory;
-    inventory.headRevision = stored.modRevision;
+    inventory.head = stored;
     BOOST_OUTCOME_TRY(const auto generations, readGenerations(store, deadline));
     for (const auto &generation : generations) {
         const bool superseded = generation.head.generation.value + std::max(kept, minKeptGenerations) <= head.generation.value;
@@ -110,7 +110,7 @@
 StoreTransaction removalOf(const Inventory &inventory, const std::set<BundleDigest> &bundles)
 {
     StoreTransaction removal;
-    removal.conditions = {{std::string(headKey), inventory.headRevision}};
+    removal.conditions = {{inventory.head.key, inventory.head.modRevision, inventory.head.value}};
     for (const auto &generation : inventory.superseded) {
         removal.removes.push_back(generationKey(generation.head.generation));
     }
@@ -124,13 +124,13 @@
 }
 
 /// Error for a rejected removal: the head changed, or a bundle was signed off again, since the inventory was read.
-ReleaseError rejectionError(const std::vector<StoreValue> &found, Revision headRevision)
+ReleaseError rejectionError(const std::vector<StoreValue> &found, const StoreValue &readHead)
 {
     const auto head = found.empty() ? std::nullopt : decodeHead(found.front().value);
     if (!head) {
         return DamagedRecord{std::string(headKey)};
     }
-    if (found.front().modRevision == headRevision) {
+    if (found.front().modRevision == readHead.modRevision && found.front().value == readHead.value) {
         return StoreError{StoreErrorKind::Rejected, 0};
     }
     return RollOutConflict{*head};
@@ -172,7 +172,7 @@
         return ReleaseError{reply.error()};
     }
     if (!reply.value().applied) {
-        return rejectionError(reply.value().found, inventory.headRevision);
+        return rejectionError(reply.value().found, inventory.head);
     }
     return replyOf(inventory, bundles);
 }
--- a/src/agatedoor/release/release.cpp
+++ b/src/agatedoor/release/release.cpp
@@ -57,11 +57,11 @@
     return decodeVerifiedBundle(stored ? &*stored : nullptr, digest);
 }
 
-/// The head record together with its revision in the store; both empty before the first roll-out.
+/// The head record together with what the store holds; both empty before the first roll-out.
 struct StoredHead
 {
     std::optional<HeadRecord> head;
-    Revision modRevision = 0;
+    std::optional<StoreValue> stored;
 };
 
 Result<StoredHead, ReleaseError> readStoredHead(const Store &store, Deadline deadline)
@@ -74,7 +74,7 @@
     if (!head) {
         return damagedRecord(std::string(headKey));
     }
-    return StoredHead{std::move(head), stored->modRevision};
+    return StoredHead{std::move(head), stored};
 }
 
 RollOutResult resultOf(const OperationRecord &record, const OperationId &operation, const BundleDigest &digest)
@@ -88,14 +88,31 @@
     return *record.landed;
 }
 
-/// The head that a roll-out writes and the revisions that must be unchanged for it.
+/// The head that a roll-out writes and what must be unchanged for it.
 struct RollOutPlan
 {
     HeadRecord next;
-    Revision headRevision = 0;
+    std::optional<StoreValue> head;
     Revision bundleRevision = 0;
 };
 
+/// Condition that the head is still the one that the plan was made from, by its content too.
+StoreCondition headUnchanged(const RollOutPlan &plan)
+{
+    if (!plan.head) {
+        return {std::string(headKey), 0};
+    }
+    return {std::string(headKey), plan.head->modRevision, plan.head->value};
+}
+
+bool isUnchanged(const RollOutPlan &plan, const StoreValue *head)
+{
+    if (head == nullptr || !plan.head) {
+        return head == nullptr && !plan.head;
+    }
+    return head->modRevision == plan.head->modRevision && head->value == plan.head->value;
+}
+
 StoreTransaction transactionOf(const RollOutPlan &plan)
 {
     const std::string bytes = encodeHead(plan.next);
@@ -104,7 +121,7 @@
     const std::string operation = operationKey(plan.next.operation);
     const std::string generation = generationKey(plan.next.generation);
     StoreTransaction transaction;
-    transaction.conditions = {{head, plan.headRevision}, {bundle, plan.bundleRevision}, {operation, 0}, {generation, 0}};
+    transaction.conditions = {headUnchanged(plan), {bundle, plan.bundleRevision}, {operation, 0}, {generation, 0}};
     transaction.puts = {{head, bytes}, {operation, bytes}, {generation, bytes}};
     transaction.readsOnConflict = {head, bundle, operation, generation};
     return transaction;
@@ -147,8 +164,7 @@
         return record ? resultOf(*record, plan.next.operation, plan.next.digest) : RollOutResult(damagedRecord(operation));
     }
     const StoreValue *head = findKey(found, headKey);
-    const Revision headRevision = head == nullptr ? 0 : head->modRevision;
-    if (headRevision == plan.headRevision && findKey(found, generationKey(plan.next.generation)) == nullptr) {
+    if (isUnchanged(plan, head) && findKey(found, generationKey(plan.next.generation)) == nullptr) {
         return bundleRejectionResult(plan, found);
     }
     return conflictResult(plan, found);
@@ -240,7 +256,7 @@
     if (request.expected && *request.expected != inForce) {
         return ReleaseError{GenerationMismatch{*request.expected, inForce}};
     }
-    const RollOutPlan plan{{{inForce.value + 1}, request.digest, who.operation, who.name}, storedHead.modRevision, bundle.modRevision};
+    const RollOutPlan plan{{{inForce.value + 1}, request.digest, who.operation, who.name}, storedHead.stored, bundle.modRevision};
     const auto reply = store.transact(transactionOf(plan), deadlines.write);
     if (reply) {
         return reply.value().applied ? RollOutResult(plan.next) : rejectionResult(plan, reply.value().found);
--- a/src/agatedoor/release/release_test.cpp
+++ b/src/agatedoor/release/release_test.cpp
@@ -45,6 +45,30 @@
 
 } // namespace
 
+/// Guards against a roll-out over a head that the operator never saw, which has the revision of the one that was read, as the store was
+/// restored from a copy in between.
+TEST(RollOut, IsRefusedWhenARestoredStoreGaveTheRevisionOfTheHeadToAnother)
+{
+    FakeStore fake;
+    const Store direct = fake.seam([](bool) { return Fault::None; });
+    ASSERT_TRUE(signOff(direct, {"astrid", {"op-0"}}, text, "bundle", {}));
+    ASSERT_TRUE(rollOut(direct, {"astrid", {"op-1"}}, {digest, {}}, {}));
+    ASSERT_TRUE(rollOut(direct, {"astrid", {"op-2"}}, {digest, {}}, {}));
+    const Revision read = fake.at(std::string(headKey)).modRevision;
+    const Store restoredBeforeTheWrite = fake.seam([&](bool write) {
+        if (write) {
+            fake.restore(1);
+            EXPECT_TRUE(rollOut(direct, {"berit", {"op-3"}}, {digest, {}}, {}));
+            EXPECT_EQ(fake.at(std::string(headKey)).modRevision, read);
+        }
+        return Fault::None;
+    });
+    const auto reply = rollOut(restoredBeforeTheWrite, {"astrid", {"op-4"}}, {digest, Generation{2}}, {});
+    ASSERT_TRUE(failedWith<RollOutConflict>(reply));
+    EXPECT_EQ(std::get<RollOutConflict>(reply.error()).winner.operation.value, "op-3");
+    EXPECT_EQ(decodeHead(fake.at(std::string(headKey)).value)->operation.value, "op-3");
+}
+
 TEST(RollOut, ResolvesLostResponses)
 {
     section("the write took effect", [] {
--- a/src/agatedoor/wire/etcd_store.cpp
+++ b/src/agatedoor/wire/etcd_store.cpp
@@ -175,6 +175,11 @@
     return {{"key", toBase64(condition.key)}, {"target", "MOD"}, {"result", "EQUAL"}, {"mod_revision", std::to_string(condition.modRevision)}};
 }
 
+json::object compareValueOf(const StoreCondition &condition)
+{
+    return {{"key", toBase64(condition.key)}, {"target", "VALUE"}, {"result", "EQUAL"}, {"value", toBase64(*condition.value)}};
+}
+
 json::object putOf(const StorePut &put)
 {
     json::object request{{"key", toBase64(put.key)}, {"value", toBase64(put.value)}};
@@ -199,6 +204,9 @@
     json::array compares;
     for (const auto &condition : transaction.conditions) {
         compares.push_back(compareOf(condition));
+        if (condition.value) {
+            compares.push_back(compareValueOf(condition));
+        }
     }
     json::array writes;
     for (const auto &put : transaction.puts) {
--- a/tests/stand_ins/stored_state.cpp
+++ b/tests/stand_ins/stored_state.cpp
@@ -74,6 +74,9 @@
 bool StoredState::holds(const json::object &compare) const
 {
     const auto found = m_values.find(bytes(compare, "key"));
+    if (compare.at("target") == "VALUE") {
+        return found != m_values.end() && found->second.value == bytes(compare, "value");
+    }
     const std::int64_t present = found == m_values.end() ? 0 : found->second.modRevision;
     return present == number(compare, "mod_revision");
 }
--- a/tests/support/fake_store.cpp
+++ b/tests/support/fake_store.cpp
@@ -35,6 +35,13 @@
     ++m_revision;
 }
 
+void FakeStore::restore(std::size_t writes)
+{
+    m_values = m_history.at(m_history.size() - writes);
+    m_history.resize(m_history.size() - writes);
+    m_revision -= static_cast<Revision>(writes);
+}
+
 const FakeStore::Values &FakeStore::past() const
 {
     const std::size_t back = std::min(m_staleness, m_history.size());
@@ -85,7 +92,8 @@
 {
     return std::all_of(transaction.conditions.begin(), transaction.conditions.end(), [this](const StoreCondition &condition) {
         const auto found = m_values.find(condition.key);
-        return (found == m_values.end() ? 0 : found->second.modRevision) == condition.modRevision;
+        const bool unchanged = (found == m_values.end() ? 0 : found->second.modRevision) == condition.modRevision;
+        return unchanged && (!condition.value || found->second.value == *condition.value);
     });
 }
 
--- a/tests/support/fake_store.hpp
+++ b/tests/support/fake_store.hpp
@@ -37,6 +37,8 @@
     void overwrite(const std::string &key, const std::string &value);
     /// @brief Removes a key as if by hand.
     void erase(const std::string &key);
+    /// @brief Returns to the state of before the last @p writes transactions, whose revisions are given out again.
+    void restore(std::size_t writes);
     bool holds(const std::string &key) const { return m_values.contains(key); }
     const StoreValue &at(const std::string &key) const { return m_values.at(key); }
     /// @brief Every head that was ever stored, in order.
