--- a/src/agatedoor/wire/etcd_store.cpp
+++ b/src/agatedoor/wire/etcd_store.cpp
@@ -294,8 +294,10 @@
 /// Collects whole JSON lines of a watch stream.
 struct WatchCollector
 {
+    Revision from = 0; ///< First revision that the watch asks for.
     std::string pending;
     WatchReply reply;
+    bool restored = false; ///< The store is at an earlier revision than the one that was read before, so it came back from a copy.
     bool malformed = false;
     bool cancelled = false; ///< The store ended the watch; the stream may stay open.
 
@@ -309,7 +311,7 @@
             pending.erase(0, end + 1);
         }
         malformed = malformed || pending.size() > maxWatchLineBytes;
-        return !malformed && !cancelled && reply.events.empty();
+        return !malformed && !cancelled && !restored && reply.events.empty();
     }
 
     void takeLine(std::string_view line)
@@ -322,6 +324,7 @@
             return;
         }
         reply.revision = std::max(reply.revision, headerRevision(*result));
+        restored = restored || (reply.revision != 0 && reply.revision < from - 1);
         const json::value *ended = result->if_contains("canceled");
         cancelled = cancelled || (ended != nullptr && ended->is_bool() && ended->get_bool());
         const json::value *events = result->if_contains("events");
@@ -360,12 +363,15 @@
     const HttpRequest request{"POST", "/v3/watch", {{"Content-Type", "application/json"}}, json::serialize(body)};
     StoreError last;
     for (const auto &endpoint : endpoints) {
-        WatchCollector collector;
+        WatchCollector collector{.from = from.revision, .pending = {}, .reply = {}};
         const auto status = httpStream(
             endpoint, request, deadline, [&collector](std::string_view part) { return collector.take(part); }, stop);
         if (status && status.value() != statusOk) {
             return errorOf(status.value());
         }
+        if (status && collector.restored) {
+            return StoreError{StoreErrorKind::Restored, statusOk};
+        }
         if (status && collector.cancelled) {
             return StoreError{StoreErrorKind::Rejected, statusOk};
         }
--- a/src/agatedoor/wire/etcd_store_test.cpp
+++ b/src/agatedoor/wire/etcd_store_test.cpp
@@ -77,6 +77,14 @@
         ASSERT_FALSE(reply);
         EXPECT_EQ(reply.error().kind, StoreErrorKind::Rejected);
     });
+    section("a store that is at an earlier revision than the watch was restored from a copy, and would answer only once it has passed it", [&] {
+        server.set(answer(R"({"result":{"header":{"revision":"9"},"created":true}})"
+                          "\n"));
+        EXPECT_TRUE(store.watch("key", {10, {}}, soon(), {}));
+        const auto reply = store.watch("key", {11, {}}, soon(), {});
+        ASSERT_FALSE(reply);
+        EXPECT_EQ(reply.error().kind, StoreErrorKind::Restored);
+    });
     section("a watch that ends without events is quiet", [&] {
         server.set(answer(R"({"result":{"header":{"revision":"9"},"created":true}})"
                           "\n"));
