--- a/include/agatedoor/base/ids.hpp
+++ b/include/agatedoor/base/ids.hpp
@@ -41,6 +41,8 @@
 using RequestId = TextId<struct RequestIdTag>;
 /// @brief SHA-256 of a bundle's text in lower-case hexadecimal.
 using BundleDigest = TextId<struct BundleDigestTag>;
+/// @brief Strong hash of what a request asks for and of whom, in hexadecimal; the same whenever the request is sent again.
+using ContentDigest = TextId<struct ContentDigestTag>;
 /// @brief Identifies one action of an operator, so that its result can be looked up later.
 using OperationId = TextId<struct OperationIdTag>;
 
@@ -52,6 +54,8 @@
 /// @brief Number of the store's restores from a copy, as the store tells it; 0 when it doesn't. Revisions and lease ids of different eras can't be
 /// compared, since a restored store gives them out again.
 using StoreEra = Counter<struct StoreEraTag>;
+/// @brief Identifies one unexpected end of a backend server process; random, 0 means none.
+using BackendEndId = Counter<struct BackendEndIdTag>;
 /// @brief Hash of a route, the same on all nodes; 0 when the route is unknown. Two routes may share a value.
 using RouteKey = Counter<struct RouteKeyTag>;
 
--- a/include/agatedoor/base/outcome.hpp
+++ b/include/agatedoor/base/outcome.hpp
@@ -44,6 +44,8 @@
     BackendShed,
     BackendSlow, ///< The backend server's VM is slow at the moment.
     NoFreeSlot, ///< All slots of the backend server are in use, and the request may not wait for one.
+    BackendEnded, ///< The backend server process ended while the request was in progress.
+    EndsBackends, ///< Several backend servers ended while the same request was in progress, and none has answered it since.
     RequestLimit, ///< The backend server named a limit for its requests, which is used up at the moment.
 };
 
--- a/include/agatedoor/membership/membership.hpp
+++ b/include/agatedoor/membership/membership.hpp
@@ -64,6 +64,7 @@
     std::vector<Outgoing> messages;
     std::vector<Endpoint> connectionsToReopen; ///< Addresses whose open connection may be dead; reconnect before sending the messages.
     bool viewChanged = false; ///< The table changed in a way that can affect routing.
+    std::vector<BackendEnd> ends; ///< Unexpected ends of backend servers that a peer told.
     std::vector<Departure> departures; ///< Acknowledged by an earlier process of this node; this one must apply them too.
     bool incarnationChanged = false; ///< This node took a greater incarnation to refute a record of itself; see Membership::self.
 };
@@ -77,6 +78,8 @@
     FleetTable table; ///< All members, this node included.
     Generation generation; ///< Bundle generation in force on this node; carried by every message.
     StoreEra storeEra; ///< Newest era of the store that this node knows; carried by every message.
+    BackendEnds ends; ///< All unexpected ends of backend servers that this node knows.
+    std::map<BackendEndId, int> queuedEnds; ///< Those of them to be gossiped, with the number of transmissions left.
     std::map<NodeId, int> queuedUpdates; ///< Members whose update is to be gossiped, with the number of transmissions left.
     int generationTransmissions = 0; ///< Transmissions left for a new generation.
     std::vector<NodeId> probeOrder; ///< Members left to probe in the current round.
@@ -115,6 +118,9 @@
 /// @brief Sets the bundle generation in force and gossips it, with the era of the store, to several members immediately.
 MembershipOutput announceGeneration(Membership &membership, Generation generation, TimePoint now, Random &random);
 
+/// @brief Sets the unexpected ends of backend servers that this node knows, and gossips @p news of them to several members immediately.
+MembershipOutput announceEnds(Membership &membership, const BackendEnds &known, const std::vector<BackendEnd> &news, TimePoint now, Random &random);
+
 /// @brief Adds addresses of nodes through which to join the fleet.
 void addContacts(Membership &membership, const std::vector<Endpoint> &contacts);
 
--- a/include/agatedoor/membership/peer_message.hpp
+++ b/include/agatedoor/membership/peer_message.hpp
@@ -2,6 +2,7 @@
 
 #include "agatedoor/membership/fleet_table.hpp"
 #include "agatedoor/release/release.hpp"
+#include "agatedoor/state/backend_ends.hpp"
 
 /// @brief Messages between nodes. Each is idempotent: it may be lost, duplicated or delayed.
 namespace agatedoor {
@@ -18,6 +19,16 @@
     BundleReply,
 };
 
+/// @brief An unexpected end of a backend server as it is told to a peer, whose clock is another.
+struct BackendEndNews
+{
+    BackendEndId id;
+    std::vector<RequestBesideEnd> requests;
+    std::chrono::milliseconds forgetAfter{0};
+
+    friend bool operator==(const BackendEndNews &, const BackendEndNews &) = default;
+};
+
 /// @brief One message between nodes; the fields that its kind doesn't use stay empty.
 struct PeerMessage
 {
@@ -36,6 +47,8 @@
     bool more = false; ///< Sync reply: further buckets differ but exceeded the size limit.
     std::vector<MemberUpdate> updates;
     std::vector<Departure> departures; ///< Sync reply: departures that earlier processes of the receiver acknowledged.
+    std::vector<BackendEndNews> ends; ///< Unexpected ends of backend servers. Sync reply: all that the sender knows, if the requester knows others.
+    std::uint64_t endsDigest = 0; ///< Sync request: hash of the ends that the sender knows.
     bool readsPackedText = false; ///< Bundle request: the reply may carry packedText.
     HeadRecord head; ///< Bundle reply: head record of the bundle. Bundle request: of the one in force at the sender.
     std::string text; ///< Bundle reply: bundle text.
--- a/include/agatedoor/state/gate.hpp
+++ b/include/agatedoor/state/gate.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agatedoor/base/ids.hpp"
 #include "agatedoor/decide/adaptive_limit.hpp"
 #include "agatedoor/decide/admission.hpp"
 #include "agatedoor/decide/knee.hpp"
@@ -60,6 +61,9 @@
     RequestLimit requestLimit; ///< Rate that the backend server names for its requests.
 };
 
+/// @brief Random identifier for the end of one backend server process.
+BackendEndId randomEndId();
+
 /// @brief Slots, queue, connections and counters of one backend server; shared by all request threads.
 struct Gate
 {
@@ -67,6 +71,7 @@
         : announced(slots.value)
         , limit(slots.value)
         , announcedConnections(connectionLimit.value)
+        , processEnd(randomEndId().value)
     {
     }
 
@@ -92,6 +97,8 @@
     std::atomic<std::int64_t> idleConnections{0};
     std::atomic<std::int64_t> connectFailures{0}; ///< Consecutive failed connects.
     std::atomic<bool> down{false}; ///< Set after several consecutive failed connects.
+    std::atomic<std::uint64_t> processEnd; ///< BackendEndId of the present process's end, if that ends unexpectedly.
+    std::atomic<bool> ended{false}; ///< That end was seen, and no connection has been opened since.
     GateQueue queue;
 };
 
@@ -147,4 +154,7 @@
 /// @brief Records the result of a connect; several consecutive failures mark the backend server as down.
 void recordConnect(Gate &gate, bool connected);
 
+/// @brief Records that the backend server process has ended. Whoever notices it before the next process is there gets the same identifier.
+BackendEndId recordEnd(Gate &gate);
+
 } // namespace agatedoor
--- a/src/agatedoor/base/outcome.cpp
+++ b/src/agatedoor/base/outcome.cpp
@@ -45,6 +45,8 @@
     std::pair{Reason::BackendShed, std::string_view{"backend-shed"}},
     std::pair{Reason::BackendSlow, std::string_view{"backend-slow"}},
     std::pair{Reason::NoFreeSlot, std::string_view{"no-free-slot"}},
+    std::pair{Reason::BackendEnded, std::string_view{"backend-ended"}},
+    std::pair{Reason::EndsBackends, std::string_view{"ends-backends"}},
     std::pair{Reason::RequestLimit, std::string_view{"request-limit"}},
 };
 
--- a/src/agatedoor/control/node_state.hpp
+++ b/src/agatedoor/control/node_state.hpp
@@ -8,6 +8,7 @@
 #include "agatedoor/state/newest_era.hpp"
 #include "agatedoor/state/path_delays.hpp"
 #include "agatedoor/state/settings.hpp"
+#include "agatedoor/state/shared_backend_ends.hpp"
 #include "agatedoor/state/snapshot.hpp"
 
 #include <atomic>
@@ -44,6 +45,7 @@
     LocalBackendController localBackends;
     Snapshot<FleetView> fleet;
     PathDelays pathDelays;
+    SharedBackendEnds backendEnds; ///< Unexpected ends of backend servers anywhere, with the requests that were in progress.
     NewestEra storeEra; ///< Known from the store's own replies or from peers.
     BackendNotices notices; ///< What backend servers anywhere said in the answers that this node passed on.
     std::atomic<bool> stopping{false}; ///< The node is not ready, and callers are asked to connect elsewhere.
--- a/src/agatedoor/control/peer_sync.cpp
+++ b/src/agatedoor/control/peer_sync.cpp
@@ -175,6 +175,7 @@
             applyOutput(updateSelf(m_membership, currentRecord(), now, m_random));
         }
         announceNews(now);
+        announceBackendEnds(now);
         if (now >= nextTick) {
             nextTick = now + tickInterval;
             drainBackendsThatSaidTheyLeave();
@@ -268,8 +269,18 @@
     }
 }
 
+/// Tells peers what this node has learned of unexpected ends of backend servers.
+void PeerSync::announceBackendEnds(TimePoint now)
+{
+    const std::vector<BackendEnd> news = m_node.backendEnds.takeNews();
+    if (!news.empty() || !m_membership.ends.byId.empty()) {
+        applyOutput(announceEnds(m_membership, m_node.backendEnds.current(now), news, now, m_random));
+    }
+}
+
 void PeerSync::applyOutput(MembershipOutput output)
 {
+    m_node.backendEnds.merge(output.ends);
     for (const auto &endpoint : output.connectionsToReopen) {
         if (m_transport->disconnect(endpoint)) {
             logDecision("peer-connection-distrusted", {{"address", toText(endpoint)}, {"outcome", "closed"}});
--- a/src/agatedoor/membership/membership.cpp
+++ b/src/agatedoor/membership/membership.cpp
@@ -1,5 +1,6 @@
 #include "agatedoor/membership/membership.hpp"
 
+#include "membership_ends.hpp"
 #include "membership_gossip.hpp"
 #include "membership_merge.hpp"
 #include "membership_probe.hpp"
@@ -50,7 +51,7 @@
     const PeersByDistance peers = peersByDistance(membership);
     for (std::size_t i = 0; i < membership.options.fanout; ++i) {
         const MemberEntry *peer = pickPeer(peers, random);
-        if (peer == nullptr || (membership.queuedUpdates.empty() && membership.generationTransmissions <= 0)) {
+        if (peer == nullptr || (membership.queuedUpdates.empty() && membership.queuedEnds.empty() && membership.generationTransmissions <= 0)) {
             return;
         }
         if (!withinBudget(membership, peer->record.region, now)) {
@@ -59,6 +60,7 @@
         --membership.generationTransmissions;
         PeerMessage message = makeMessage(membership, PeerMessageKind::Gossip);
         addQueuedUpdates(membership, message);
+        addQueuedEnds(membership, message, now);
         queueMessage(membership, peer->record.gossip, peer->record.region, message, output);
     }
 }
@@ -160,6 +162,7 @@
     }
     const Counter<struct RecordVersionTag> versionBefore = membership.self.version;
     const bool changed = applyUpdates(membership, message, now, output);
+    output.ends = endsOf(message, now);
     switch (message.kind) {
     case PeerMessageKind::Ping:
         acknowledge(membership, message, output);
@@ -216,6 +219,19 @@
     return output;
 }
 
+MembershipOutput announceEnds(Membership &membership, const BackendEnds &known, const std::vector<BackendEnd> &news, TimePoint now, Random &random)
+{
+    MembershipOutput output;
+    membership.ends = known;
+    for (const auto &end : news) {
+        queueEnd(membership, end.id);
+    }
+    if (!news.empty()) {
+        gossipNow(membership, now, random, output);
+    }
+    return output;
+}
+
 void addContacts(Membership &membership, const std::vector<Endpoint> &contacts)
 {
     for (const auto &contact : contacts) {
--- a/src/agatedoor/membership/membership_gossip.cpp
+++ b/src/agatedoor/membership/membership_gossip.cpp
@@ -1,5 +1,7 @@
 #include "membership_gossip.hpp"
 
+#include "membership_ends.hpp"
+
 #include <algorithm>
 #include <bit>
 
@@ -189,6 +191,7 @@
         }
         PeerMessage message = makeMessage(membership, PeerMessageKind::Gossip);
         addQueuedUpdates(membership, message);
+        addQueuedEnds(membership, message, now);
         queueMessage(membership, peer->record.gossip, peer->record.region, message, output);
     }
 }
@@ -199,6 +202,7 @@
     const TableDigest digest = digestOf(membership.table);
     message.buckets.assign(digest.begin(), digest.end());
     message.updates.push_back(updateOf(membership.table.members.at(membership.self.node)));
+    message.endsDigest = digestOf(membership.ends);
     queueMessage(membership, to, region, message, output);
 }
 
--- a/src/agatedoor/membership/membership_sync.cpp
+++ b/src/agatedoor/membership/membership_sync.cpp
@@ -1,5 +1,6 @@
 #include "membership_sync.hpp"
 
+#include "membership_ends.hpp"
 #include "membership_gossip.hpp"
 #include "membership_merge.hpp"
 
@@ -121,6 +122,7 @@
     const TableDigest digest = digestOf(membership.table);
     PeerMessage reply = makeMessage(membership, PeerMessageKind::SyncReply);
     reply.departures = departuresOf(membership, request.from, now);
+    addDifferingEnds(membership, request, reply, now);
     const std::size_t start = uniformIndex(random, digestBuckets);
     std::size_t size = 0;
     for (std::size_t i = 0; i < digestBuckets; ++i) {
--- a/src/agatedoor/membership/peer_message.cpp
+++ b/src/agatedoor/membership/peer_message.cpp
@@ -2,6 +2,9 @@
 
 #include "member_codec.hpp"
 
+#include <algorithm>
+#include <chrono>
+
 namespace agatedoor {
 
 namespace {
@@ -36,6 +39,29 @@
     return MemberUpdate{std::move(*record), static_cast<MemberStatus>(message.status())};
 }
 
+void encodeEnd(const BackendEndNews &end, messages::BackendEnd &message)
+{
+    message.set_id(end.id.value);
+    message.set_forget_after_ms(static_cast<std::uint64_t>(end.forgetAfter.count()));
+    for (const auto &request : end.requests) {
+        auto &encoded = *message.add_requests();
+        encoded.set_content(request.content.value);
+        encoded.set_answered_since(request.answeredSince);
+    }
+}
+
+BackendEndNews decodeEnd(const messages::BackendEnd &message)
+{
+    const std::uint64_t longest = std::chrono::duration_cast<std::chrono::milliseconds>(BackendEndOptions{}.retention).count();
+    BackendEndNews end;
+    end.id = {message.id()};
+    end.forgetAfter = std::chrono::milliseconds(std::min(message.forget_after_ms(), longest));
+    for (const auto &request : message.requests()) {
+        end.requests.push_back({{request.content()}, request.answered_since()});
+    }
+    return end;
+}
+
 } // namespace
 
 std::string_view wireName(PeerMessageKind kind)
@@ -83,6 +109,10 @@
         encodeUpdate(update, *encoded.add_updates());
     }
     encodeDepartures(message.departures, *encoded.mutable_departures());
+    for (const auto &end : message.ends) {
+        encodeEnd(end, *encoded.add_ends());
+    }
+    encoded.set_ends_digest(message.endsDigest);
     if (message.kind == PeerMessageKind::BundleRequest) {
         *encoded.mutable_head() = encodeHeadRecord(message.head);
         encoded.set_reads_packed_text(message.readsPackedText);
@@ -125,6 +155,10 @@
         message.updates.push_back(std::move(*update));
     }
     message.departures = decodeDepartures(encoded.departures());
+    for (const auto &end : encoded.ends()) {
+        message.ends.push_back(decodeEnd(end));
+    }
+    message.endsDigest = encoded.ends_digest();
     const auto &head = encoded.head();
     message.head = {{head.generation()}, {head.digest()}, {head.operation()}, head.operator_name()};
     message.text = encoded.text();
--- a/src/agatedoor/proxy/attempt.hpp
+++ b/src/agatedoor/proxy/attempt.hpp
@@ -15,6 +15,7 @@
     RunOutcome outcome = RunOutcome::Unknown;
     Reason reason = Reason::None;
     std::optional<StringResponse> response; ///< Present when outcome is Answered.
+    BackendEndId end; ///< With Reason::BackendEnded: the end that was noticed.
     std::optional<LoadReport> load; ///< Load of the backend server as the node that owns it reported it, if it did.
 };
 
--- a/src/agatedoor/proxy/backend/backend_call.cpp
+++ b/src/agatedoor/proxy/backend/backend_call.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds closeTimeout{500};
+constexpr std::chrono::milliseconds endCheckTimeout{100};
 constexpr std::size_t closeBytes = 256UL * 1024; ///< Most that is read and discarded while the backend server closes its end.
 
 SpanRequest makeBackendMessage(const EdgeHeaders &edge, const BackendRequest &request, const StringRequest &message, TimePoint now)
@@ -184,6 +185,29 @@
     RouteKey route;
 };
 
+/// Tells a backend server process that has ended from one that only closed the connection: nothing listens at its address any more. One
+/// that leaves ends as planned.
+asio::awaitable<void> noteUnexpectedEnd(const Admitted &admitted, const BackendRequest &request, AttemptResult &result)
+{
+    Gate &gate = *admitted.slot.sharedGate();
+    if (result.reason != Reason::ConnectionLost || gate.draining.load()) {
+        co_return;
+    }
+    const bool listening = co_await openConnection(admitted.endpoint, deadlineAfter(Clock::now(), endCheckTimeout)) != nullptr;
+    recordConnect(gate, listening);
+    if (listening) {
+        co_return;
+    }
+    result.reason = Reason::BackendEnded;
+    result.end = recordEnd(gate);
+    logDecision("backend-ended",
+                {{"request_id", request.id.value},
+                 {"backend", request.target.value},
+                 {"end", static_cast<std::int64_t>(result.end.value)},
+                 {"evidence", std::string("connection lost, and nothing listens")},
+                 {"running", loadOf(gate).running}});
+}
+
 /// Records the service time and pace of an answered request, and returns its connection to the pool if it can be reused.
 void recordAnswer(Worker &worker, const Admitted &admitted, std::unique_ptr<Connection> connection, const AttemptResult &result, const DispatchStart &started)
 {
@@ -217,6 +241,7 @@
     backend.connection->stream.expires_never();
     AttemptResult result = co_await exchange(worker.node, *backend.connection, request, message);
     if (!result.response) {
+        co_await noteUnexpectedEnd(admitted, request, result);
         logDecision("answer-lost",
                     {{"request_id", request.id.value},
                      {"backend", request.target.value},
--- a/src/agatedoor/proxy/caller/run_attempt.cpp
+++ b/src/agatedoor/proxy/caller/run_attempt.cpp
@@ -1,6 +1,7 @@
 #include "run_attempt.hpp"
 
 #include "backend_choice.hpp"
+#include "suspect.hpp"
 
 namespace agatedoor {
 
@@ -75,6 +76,7 @@
     } else {
         result = co_await forwardToPeer(context.worker, entry, request, context.request, context.route->idempotent, options.connection);
     }
+    learnFromAttempt(context, result);
     const auto state = co_await asio::this_coro::cancellation_state;
     if (state.cancelled() == asio::cancellation_type::none && !context.cancellation.requested()) {
         counted.finish(context, result);
--- a/src/agatedoor/proxy/peer/peer_server.cpp
+++ b/src/agatedoor/proxy/peer/peer_server.cpp
@@ -66,6 +66,9 @@
     response.set(header::requestId, request.id.value);
     response.set(header::outcome, std::string(wireName(result.outcome)));
     response.set(header::reason, std::string(wireName(result.reason)));
+    if (result.end.value != 0) {
+        response.set(header::end, std::to_string(result.end.value));
+    }
     if (result.load) {
         response.set(header::load, header::loadText(*result.load));
     }
--- a/src/agatedoor/proxy/request_context.hpp
+++ b/src/agatedoor/proxy/request_context.hpp
@@ -39,6 +39,7 @@
     int attempts = 0;
     BackendId servedBy; ///< Backend server of the last attempt.
     AttemptResult result; ///< Result that the caller receives.
+    ContentDigest content; ///< Set when the same request may have been in progress beside an unexpected end of a backend server.
     Cancellation cancellation; ///< Requested when the caller closes its connection.
 };
 
--- a/src/agatedoor/state/bundle.cpp
+++ b/src/agatedoor/state/bundle.cpp
@@ -1,6 +1,6 @@
 #include "agatedoor/state/bundle.hpp"
 
-#include <openssl/evp.h>
+#include "agatedoor/state/sha256.hpp"
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -179,16 +179,7 @@
 
 BundleDigest digestOf(std::string_view text)
 {
-    std::array<unsigned char, EVP_MAX_MD_SIZE> raw{};
-    unsigned int size = 0;
-    EVP_Digest(text.data(), text.size(), raw.data(), &size, EVP_sha256(), nullptr);
-    constexpr std::string_view digits = "0123456789abcdef";
-    std::string hex;
-    for (unsigned int i = 0; i < size; ++i) {
-        hex += digits[raw[i] >> 4U];
-        hex += digits[raw[i] & 0xfU];
-    }
-    return {hex};
+    return {sha256Hex(text)};
 }
 
 const Route *matchRoute(const Bundle &bundle, const RequestLine &request)
--- a/src/agatedoor/state/gate.cpp
+++ b/src/agatedoor/state/gate.cpp
@@ -1,5 +1,7 @@
 #include "agatedoor/state/gate.hpp"
 
+#include "agatedoor/base/random.hpp"
+
 #include <algorithm>
 #include <optional>
 #include <vector>
@@ -294,9 +296,24 @@
     }
 }
 
+BackendEndId randomEndId()
+{
+    Random random = entropyRandom();
+    return {nextBits(random) >> 1U}; // Fits into a signed number on the wire.
+}
+
+BackendEndId recordEnd(Gate &gate)
+{
+    gate.ended.store(true);
+    return {gate.processEnd.load()};
+}
+
 void recordConnect(Gate &gate, bool connected)
 {
     if (connected) {
+        if (gate.ended.exchange(false)) {
+            gate.processEnd.store(randomEndId().value);
+        }
         gate.connectFailures.store(0, std::memory_order_relaxed);
         gate.down.store(false);
         return;
--- a/tests/stand_ins/stand_in_backend.cpp
+++ b/tests/stand_ins/stand_in_backend.cpp
@@ -15,6 +15,7 @@
 #include <boost/json.hpp>
 
 #include <atomic>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <map>
@@ -23,8 +24,9 @@
 
 /// @brief Stand-in for a backend server: runs each request for a set time and counts runs by request id.
 /// Behaviour is set with PUT /stand-in/behaviour {"service_us":int,"reject":bool,"shed":bool,"request_limit":text,"leaving":bool}; GET /stand-in/runs tells the
-/// counts, which are printed at the end too. A run whose connection is closed is cancelled. With --run-log each run is
-/// appended to a file as "run ID NANOSECONDS" on the machine's steady clock, and the start of a leave as "leave NANOSECONDS".
+/// counts, which are printed at the end too. A request with the field Stand-In-Ends ends the process while it runs. A run whose connection is closed is
+/// cancelled. With --run-log each run is appended to a file as "run ID NANOSECONDS" on the machine's steady clock, and the start of a leave as "leave
+/// NANOSECONDS".
 namespace agatedoor {
 
 namespace {
@@ -48,6 +50,7 @@
 };
 
 constexpr std::chrono::milliseconds cancelCheckInterval{2};
+constexpr std::chrono::milliseconds endDelay{20};
 
 class StandInBackend
 {
@@ -157,11 +160,24 @@
         m_runs[id] = (m_runs.contains(id) ? m_runs.at(id).to_number<std::int64_t>() : 0) + 1;
         m_runLog << "run " << id << " " << nanoseconds(Clock::now()) << std::endl;
         m_greatestRunning = std::max(m_greatestRunning, ++m_running);
+        if (!fieldOf(request.fields, "Stand-In-Ends").empty()) {
+            asio::co_spawn(m_context, endProcess(), asio::detached);
+            return;
+        }
         const json::object answer{{"backend", m_name}, {"request_id", id}, {"target", request.target}, {"echo", request.body}};
         const Deadline done = deadlineAfter(Clock::now(), serviceTime());
         asio::co_spawn(m_context, serve(responder, json::serialize(answer), done), asio::detached);
     }
 
+    /// Ends the process as a crash does, a moment after the request has begun.
+    asio::awaitable<void> endProcess()
+    {
+        boost::system::error_code ignored;
+        asio::steady_timer timer(m_context, endDelay);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        std::_Exit(1);
+    }
+
     /// Works until @p done, or until the connection is closed.
     asio::awaitable<void> serve(std::shared_ptr<HttpResponder> responder, std::string body, Deadline done)
     {
