--- a/include/agatedoor/decide/retry.hpp
+++ b/include/agatedoor/decide/retry.hpp
@@ -16,6 +16,7 @@
     int attempts = 0; ///< Attempts made so far.
     int freeRefusals = 0; ///< Attempts for which needsNoRetryToken was true.
     int loadRefusals = 0; ///< Attempts for which refusedByOwnerForLoad was true.
+    int endsBeside = 0; ///< Unexpected ends of backend servers beside which the same request stood, without an answer since.
     Deadline deadline; ///< The caller's deadline.
     bool budgetAllows = false; ///< The retry budget has a token.
 };
@@ -25,6 +26,7 @@
 {
     int maxAttempts = 3; ///< Limit of the attempts that may have reached a backend server, the first one included.
     int roomSearches = 0; ///< Number of refusals for load by owning nodes after each of which another node is tried without a token.
+    int maxEndsBeside = 1; ///< Limit of the ends beside a request that is sent again: with more, the next backend server may end too.
     int maxFreeRefusals = 8; ///< Limit of the retries without a token while the view of the fleet is out of date.
 };
 
--- a/include/agatedoor/state/backend_ends.hpp
+++ b/include/agatedoor/state/backend_ends.hpp
@@ -38,7 +38,6 @@
     std::size_t maxEnds = 64; ///< When it is reached, the end that tells least is dropped.
     std::size_t maxRequests = 32; ///< Beside one end; further ones aren't remembered.
     int refuseAfter = 3; ///< A request that stands beside this many ends is refused.
-    int retryUntil = 1; ///< A request that stands beside more ends isn't sent again after a failed attempt.
 };
 
 /// @brief Remembered ends.
--- a/src/agatedoor/decide/retry.cpp
+++ b/src/agatedoor/decide/retry.cpp
@@ -45,7 +45,8 @@
     const bool safe = view.idempotent || view.lastOutcome == RunOutcome::NotRun;
     const int possibleArrivals = view.attempts - view.freeRefusals - view.loadRefusals;
     const bool inBounds = possibleArrivals < options.maxAttempts && view.freeRefusals <= options.maxFreeRefusals && !expired(view.deadline, now);
-    if (!safe || !inBounds) {
+    const bool suspect = view.endsBeside > options.maxEndsBeside;
+    if (!safe || !inBounds || suspect) {
         return RetryDecision::Stop;
     }
     if (needsNoRetryToken(view.lastOutcome, view.lastReason)) {
--- a/src/agatedoor/decide/retry_test.cpp
+++ b/src/agatedoor/decide/retry_test.cpp
@@ -36,6 +36,20 @@
             EXPECT_FALSE(retried(RunOutcome::Answered, false));
         });
     });
+    test::section("a request beside the end of a backend server", [] {
+        RetryContext context = contextAfter(RunOutcome::Unknown, true);
+        context.lastReason = Reason::BackendEnded;
+        context.endsBeside = 1;
+        test::section("is retried once, since most such requests didn't cause it",
+                      [&] { EXPECT_NE(decideRetry(context, RetryOptions{}, now), RetryDecision::Stop); });
+        test::section("isn't sent to a third backend server when a second has ended, by its own attempts or by those of others", [&] {
+            context.endsBeside = 2;
+            EXPECT_EQ(decideRetry(context, RetryOptions{}, now), RetryDecision::Stop);
+            context.lastOutcome = RunOutcome::NotRun;
+            context.lastReason = Reason::ConnectFailed;
+            EXPECT_EQ(decideRetry(context, RetryOptions{}, now), RetryDecision::Stop);
+        });
+    });
     test::section("an idempotent request is retried after any failure", [] {
         EXPECT_TRUE(retried(RunOutcome::NotRun, true));
         EXPECT_TRUE(retried(RunOutcome::Unknown, true));
--- a/src/agatedoor/proxy/backend/backend_call.cpp
+++ b/src/agatedoor/proxy/backend/backend_call.cpp
@@ -17,7 +17,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds closeTimeout{500};
-constexpr std::chrono::milliseconds endCheckTimeout{100};
+constexpr std::chrono::milliseconds endCheckTimeout{100}; ///< For a new connection.
+constexpr std::chrono::milliseconds endingTime{20}; ///< A process that ends may close connections some moments before it stops listening.
 constexpr std::size_t closeBytes = 256UL * 1024; ///< Most that is read and discarded while the backend server closes its end.
 
 SpanRequest makeBackendMessage(const EdgeHeaders &edge, const BackendRequest &request, const StringRequest &message, TimePoint now)
@@ -185,6 +186,23 @@
     RouteKey route;
 };
 
+/// Whether something listens at the backend server's address, and goes on to.
+asio::awaitable<bool> isListening(const Endpoint &endpoint)
+{
+    const auto connection = co_await openConnection(endpoint, deadlineAfter(Clock::now(), endCheckTimeout));
+    if (!connection) {
+        co_return false;
+    }
+    error_code error;
+    std::array<char, 1> unread{};
+    connection->stream.expires_after(endingTime);
+    co_await connection->stream.async_read_some(asio::buffer(unread), into(error));
+    if (error == beast::error::timeout || !error) {
+        co_return true;
+    }
+    co_return co_await openConnection(endpoint, deadlineAfter(Clock::now(), endCheckTimeout)) != nullptr;
+}
+
 /// Tells a backend server process that has ended from one that only closed the connection: nothing listens at its address any more. One
 /// that leaves ends as planned.
 asio::awaitable<void> noteUnexpectedEnd(const Admitted &admitted, const BackendRequest &request, AttemptResult &result)
@@ -193,7 +211,7 @@
     if (result.reason != Reason::ConnectionLost || gate.draining.load()) {
         co_return;
     }
-    const bool listening = co_await openConnection(admitted.endpoint, deadlineAfter(Clock::now(), endCheckTimeout)) != nullptr;
+    const bool listening = co_await isListening(admitted.endpoint);
     recordConnect(gate, listening);
     if (listening) {
         co_return;
--- a/src/agatedoor/proxy/caller/attempt_plan.cpp
+++ b/src/agatedoor/proxy/caller/attempt_plan.cpp
@@ -3,6 +3,7 @@
 #include "agatedoor/proxy/headers.hpp"
 #include "agatedoor/wire/log.hpp"
 #include "backend_choice.hpp"
+#include "suspect.hpp"
 
 #include <algorithm>
 
@@ -63,6 +64,7 @@
     view.attempts = context.attempts;
     view.freeRefusals = plan.freeRefusals;
     view.loadRefusals = plan.loadRefusals;
+    view.endsBeside = endsBeside(context);
     view.deadline = context.deadline;
     view.budgetAllows = hasToken(plan.tokens, plan.budget);
     return view;
--- a/src/agatedoor/proxy/caller/caller_answer.cpp
+++ b/src/agatedoor/proxy/caller/caller_answer.cpp
@@ -38,6 +38,12 @@
     return response;
 }
 
+/// Whether the caller is told when to come back. A request that ends backend servers is better not sent again.
+bool mayComeBack(const RequestContext &context)
+{
+    return context.result.reason != Reason::EndsBackends;
+}
+
 } // namespace
 
 http::status statusFor(RunOutcome outcome, Reason reason)
@@ -76,7 +82,7 @@
     if (!answered) {
         response.set(header::reason, std::string(wireName(context.result.reason)));
     }
-    if (response.result() == http::status::service_unavailable && !answered) {
+    if (response.result() == http::status::service_unavailable && !answered && mayComeBack(context)) {
         response.set(http::field::retry_after, retryAfterText(retryAfter(context.result.reason, context.worker.random)));
     }
     if (context.bundle) {
--- a/src/agatedoor/proxy/caller/filter.cpp
+++ b/src/agatedoor/proxy/caller/filter.cpp
@@ -2,6 +2,7 @@
 
 #include "agatedoor/proxy/headers.hpp"
 #include "forward.hpp"
+#include "suspect.hpp"
 
 #include <algorithm>
 #include <array>
@@ -123,6 +124,16 @@
     co_return FilterVerdict::Continue;
 }
 
+/// Refuses a request beside which several backend servers have ended, and which none has answered since. It takes no other down then.
+asio::awaitable<FilterVerdict> refuseWhatEndsBackends(RequestContext &context)
+{
+    recognizeContent(context);
+    if (endsBeside(context) >= BackendEndOptions{}.refuseAfter) {
+        co_return refuse(context, Reason::EndsBackends);
+    }
+    co_return FilterVerdict::Continue;
+}
+
 asio::awaitable<FilterVerdict> forwardToBackend(RequestContext &context)
 {
     co_await forward(context);
@@ -135,8 +146,11 @@
 };
 
 constexpr std::array serving{
-    Filter{"take-body", readWholeBody},  Filter{"attest", setTrustedHeaders},
-    Filter{"set-deadline", setDeadline}, Filter{"refuse-what-outlasts-stop", refuseDeadlineAfterStop},
+    Filter{"take-body", readWholeBody},
+    Filter{"attest", setTrustedHeaders},
+    Filter{"set-deadline", setDeadline},
+    Filter{"refuse-what-outlasts-stop", refuseDeadlineAfterStop},
+    Filter{"refuse-what-ends-backends", refuseWhatEndsBackends},
     Filter{"forward", forwardToBackend},
 };
 
--- a/src/agatedoor/proxy/caller/forward.cpp
+++ b/src/agatedoor/proxy/caller/forward.cpp
@@ -4,6 +4,7 @@
 #include "attempt_plan.hpp"
 #include "parallel_attempts.hpp"
 #include "run_attempt.hpp"
+#include "suspect.hpp"
 
 #include <algorithm>
 
@@ -45,7 +46,7 @@
 {
     const RequestContext &context = plan.context;
     HedgeContext view;
-    view.idempotent = context.route->idempotent && context.bundle->bundle.budgets.hedges;
+    view.idempotent = context.route->idempotent && context.bundle->bundle.budgets.hedges && endsBeside(context) == 0;
     view.repeat = plan.arrivedAsRepeat;
     view.attempts = possibleArrivals(plan);
     view.hedged = hedged;
--- a/tests/process/deadly_request_test.cpp
+++ b/tests/process/deadly_request_test.cpp
@@ -37,7 +37,7 @@
     /// A lookup by @p caller; a deadly one ends the backend server that runs it.
     HttpReply lookUp(const std::string &node, const std::string &id, bool deadly, const std::string &caller = "crew-7") const
     {
-        HttpRequest request{"GET", "/ritarkiv/drawing?page=1", {{"Agatedoor-Request-Id", id}, {"Authorization", caller}}, ""};
+        HttpRequest request{"GET", "/ritarkiv/drawing?page=1", {{"Host", "drawings.example"}, {"Agatedoor-Request-Id", id}, {"Authorization", caller}}, ""};
         if (deadly) {
             request.fields.push_back({"Stand-In-Ends", "1"});
         }
