--- a/src/agatedoor/control/node_state.hpp
+++ b/src/agatedoor/control/node_state.hpp
@@ -53,7 +53,9 @@
     /// Requests from callers are refused too. To be read after the request is counted in inFlight, so that a stop either waits for the request
     /// or refuses it.
     std::atomic<bool> refusingCallers{false};
-    /// Deadline of the stop, set once callers had time to notice it; requests that may last longer are refused.
+    /// Set when a stop begins: what is accepted from then on is answered by this time, while answers can still be written.
+    std::atomic<TimePoint> answerBy{TimePoint::max()};
+    /// The same time, set once callers had time to notice the stop; requests that may last longer are refused.
     std::atomic<TimePoint> stopDeadline{TimePoint::max()};
     std::atomic<std::int64_t> inFlight{0}; ///< Requests in progress on this node, from callers and from other nodes.
     std::atomic<std::int64_t> heldAnswerBytes{0}; ///< Bytes of finished responses to callers that are not written yet.
--- a/src/agatedoor/node/node.cpp
+++ b/src/agatedoor/node/node.cpp
@@ -31,6 +31,7 @@
 constexpr std::chrono::milliseconds fleetNoticeTime{500}; ///< News of the stop reaches other nodes by gossip, which is sent at intervals.
 constexpr std::chrono::milliseconds idleTime{100}; ///< By then requests have arrived that callers sent before they saw the connection close.
 constexpr std::chrono::milliseconds exitReserve{500}; ///< Kept back from the stop limit for the end of the process.
+constexpr std::chrono::milliseconds lastAnswersTime{200}; ///< Kept back for the answers of requests whose deadline ends with the stop.
 constexpr std::chrono::seconds exitLimit{1}; ///< An exit that takes longer is considered hung.
 constexpr std::chrono::seconds minDrainLimit{30}; ///< Applies also when all services in the bundle have a shorter one.
 
@@ -105,6 +106,7 @@
 {
     Deadline serveUntil; ///< Requests from other nodes are accepted until then, so that the stop doesn't waste the backend server's capacity.
     Deadline acceptUntil; ///< Callers' connections are accepted until then, since callers learn of the stop only by their next readiness checks.
+    Deadline answerBy; ///< Latest deadline of a request that is accepted during the stop.
     Deadline latest; ///< Requests that are still in progress then are aborted.
 };
 
@@ -112,7 +114,9 @@
 {
     const Duration limit = std::min<Duration>(drainLimit(node), node.settings.stopLimit - exitReserve);
     const Duration notice = std::min<Duration>(readinessNoticeTime, limit / 2);
-    return {deadlineAfter(now, notice - std::min<Duration>(fleetNoticeTime, notice)), deadlineAfter(now, notice), deadlineAfter(now, limit)};
+    const Duration answerTime = limit - std::min<Duration>(lastAnswersTime, limit / 2);
+    return {deadlineAfter(now, notice - std::min<Duration>(fleetNoticeTime, notice)), deadlineAfter(now, notice), deadlineAfter(now, answerTime),
+            deadlineAfter(now, limit)};
 }
 
 /// Stops gracefully at a signal: notifies callers and then the fleet, accepts no new connections, finishes requests in progress and ends.
@@ -123,6 +127,7 @@
     co_await signals.async_wait(into(error));
     const StopPlan plan = planStop(node, Clock::now());
     logLine(LogLevel::Info, "stopping", {{"in_flight", node.inFlight.load()}});
+    node.answerBy.store(plan.answerBy.at);
     node.stopping.store(true);
     store.beginStop();
     co_await waitUntil(control, plan.serveUntil);
@@ -130,7 +135,7 @@
     peers.notifyRecordChanged();
     co_await waitUntil(control, plan.acceptUntil);
     closeListener(callers);
-    node.stopDeadline.store(plan.latest.at);
+    node.stopDeadline.store(plan.answerBy.at);
     co_await waitUntilIdle(control, node, plan.latest);
     node.refusingCallers.store(true);
     while (node.inFlight.load() > 0 && !expired(plan.latest, Clock::now())) {
--- a/src/agatedoor/proxy/caller/filter.cpp
+++ b/src/agatedoor/proxy/caller/filter.cpp
@@ -115,12 +115,14 @@
 }
 
 /// Refuses a request whose deadline is after the end of a shutdown in progress, since it could be cut off. Callers can
-/// still send requests on open connections until then.
-asio::awaitable<FilterVerdict> refuseDeadlineAfterStop(RequestContext &context)
+/// still send requests on open connections until then. One that came before they can have noticed the shutdown is taken, and answered by then.
+asio::awaitable<FilterVerdict> fitIntoStop(RequestContext &context)
 {
-    if (context.deadline.at > context.worker.node.stopDeadline.load()) {
+    const NodeState &node = context.worker.node;
+    if (context.deadline.at > node.stopDeadline.load()) {
         co_return refuse(context, Reason::Stopping);
     }
+    context.deadline = earlier(context.deadline, {node.answerBy.load()});
     co_return FilterVerdict::Continue;
 }
 
@@ -149,7 +151,7 @@
     Filter{"take-body", readWholeBody},
     Filter{"attest", setTrustedHeaders},
     Filter{"set-deadline", setDeadline},
-    Filter{"refuse-what-outlasts-stop", refuseDeadlineAfterStop},
+    Filter{"fit-into-stop", fitIntoStop},
     Filter{"refuse-what-ends-backends", refuseWhatEndsBackends},
     Filter{"forward", forwardToBackend},
 };
--- a/tests/process/stop_test.cpp
+++ b/tests/process/stop_test.cpp
@@ -1,3 +1,4 @@
+#include "agatedoor/base/time.hpp"
 #include "support/deployment.hpp"
 #include "support/raw_connection.hpp"
 #include "support/story.hpp"
@@ -5,6 +6,7 @@
 #include <atomic>
 #include <csignal>
 #include <future>
+#include <memory>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -135,4 +137,44 @@
     });
 }
 
+/// Guards against a request that is taken during the stop, passed on, and cut without an answer when the stop ends.
+TEST(Stop, AnswersWhatItTookAlsoAtItsVeryEnd)
+{
+    Deployment deployment;
+    deployment.startStore();
+    deployment.startNode({.name = "node1", .zone = "sv-uppsala", .region = "svealand", .stopLimitS = 6});
+    deployment.startNode({"node2", "sv-uppsala", "svealand"});
+    deployment.rollOut("examples/deployments/statens_takstolsverk.toml");
+    deployment.startBackend({.name = "inspections", .node = "node2", .service = "besiktning", .slots = 64, .serviceUs = 20'000'000});
+    deployment.waitUntilReady(1);
+    const Endpoint callers = deployment.callers("node1");
+    const std::string head = "POST /besiktning HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nAgatedoor-Timeout-Us: ";
+    const RawConnection early(callers);
+    std::vector<std::unique_ptr<RawConnection>> connections;
+    for (int i = 0; i < 40; ++i) {
+        connections.push_back(std::make_unique<RawConnection>(callers));
+    }
+    const TimePoint stopAt = Clock::now();
+    deployment.node("node1").signal(SIGTERM);
+    section("a request that comes before callers can have noticed the stop, and whose deadline is after it", [&] {
+        std::this_thread::sleep_until(stopAt + std::chrono::seconds(1));
+        early.send(head + "9000000\r\n\r\n");
+    });
+    section("and later ones, whose deadlines lie close together around the end of the stop", [&] {
+        std::this_thread::sleep_until(stopAt + std::chrono::seconds(3));
+        for (std::size_t i = 0; i < connections.size(); ++i) {
+            const auto deadline = stopAt + std::chrono::milliseconds(5420 + 3 * i);
+            const auto left = std::chrono::duration_cast<std::chrono::microseconds>(deadline - Clock::now());
+            connections[i]->send(head + std::to_string(left.count()) + "\r\n\r\n");
+        }
+    });
+    section("all get an answer: refused as not run at once, or told that the outcome is unknown", [&] {
+        EXPECT_EQ(early.receive("}").find("HTTP/1.1 50"), 0U);
+        for (const auto &connection : connections) {
+            EXPECT_EQ(connection->receive("}").find("HTTP/1.1 50"), 0U);
+        }
+        EXPECT_EQ(deployment.node("node1").waitForExit(std::chrono::seconds(10)), 0);
+    });
+}
+
 } // namespace agatedoor::test
