--- /dev/null
+++ b/src/agatedoor/control/head_sync.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "agatedoor/base/random.hpp"
+#include "agatedoor/membership/head_watch.hpp"
+#include "agatedoor/release/release_source.hpp"
+#include "store_calls.hpp"
+#include "store_pause.hpp"
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <stop_token>
+#include <thread>
+
+/// @brief Follows the head record of the bundle in force in the store.
+namespace agatedoor {
+
+/// @brief Watches the head on a thread of its own, since store calls block. Only a few nodes of a region watch; a bundle is applied only if
+/// its generation is newer, so more of them do no harm.
+class HeadSync
+{
+public:
+    /// @param isContact whether this node keeps a contact key; called on this thread
+    HeadSync(NodeState &node, PeerSync &peers, const Store &store, StoreCalls &calls, ReleaseSource releases, std::function<bool()> isContact);
+    ~HeadSync();
+    HeadSync(const HeadSync &) = delete;
+    HeadSync &operator=(const HeadSync &) = delete;
+
+    /// @brief Starts the stop without waiting for it: a watch in progress is cancelled, another call runs to its end.
+    void beginStop();
+
+    /// @brief Ends a watch that began before a restore: the store may never answer it. For any thread.
+    void endWatchOfOtherEra();
+
+    /// @brief This node watches the head for its region.
+    bool isWatcher() const { return m_watcher.load(); }
+
+private:
+    void run();
+    Duration round();
+    bool hasBundle() const;
+    HeadAction dueAction();
+    bool readAndApply();
+    bool watch();
+    StoreResult<WatchReply> askForChanges();
+    bool recordFailedWatch(StoreErrorKind error);
+    std::stop_token beginWatch();
+    Duration pauseAfterRound();
+    bool applyNewest(const std::vector<StoreEvent> &events);
+    bool apply(const std::string &bytes);
+
+    NodeState &m_node;
+    PeerSync &m_peers;
+    const Store &m_store;
+    StoreCalls &m_calls;
+    ReleaseSource m_releases;
+    std::function<bool()> m_isContact;
+    HeadWatchState m_state;
+    TimePoint m_nextFullRead;
+    StorePosition m_position; ///< Up to which changes of the head are known; revision 0 when the head has to be read in full.
+    bool m_positionUnconfirmed = false; ///< The last watch failed, so the store may have been restored since.
+    Generation m_readGeneration; ///< Newest generation read from the store, or in force before the last full read.
+    bool m_changed = false; ///< The last watch returned a change.
+    int m_failures = 0; ///< Rounds that failed in a row.
+    Random m_random = entropyRandom();
+    std::atomic<bool> m_watcher{false};
+    std::mutex m_watchMutex; ///< Guards the three below.
+    std::stop_source m_watchStop; ///< Ends the watch in progress.
+    StoreEra m_watchedEra; ///< Era that the watch in progress is of.
+    bool m_stopping = false;
+    StorePause m_pause;
+    std::thread m_thread;
+};
+
+} // namespace agatedoor
