--- a/tests/process/stop_test.cpp
+++ b/tests/process/stop_test.cpp
@@ -19,6 +19,7 @@
 constexpr int serviceUs = 150'000; ///< Longer than a stopping node's last steps take.
 constexpr int pauseStepMs = 37; ///< Callers wait before each request, so that the node is idle at times.
 constexpr int longestPauseMs = 400;
+constexpr std::size_t connectionCount = 40; ///< Of requests whose deadlines lie around the end of a stop.
 
 /// Ids of the requests that were answered whole.
 class Answered
@@ -151,7 +152,8 @@
     const std::string head = "POST /besiktning HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nAgatedoor-Timeout-Us: ";
     const RawConnection early(callers);
     std::vector<std::unique_ptr<RawConnection>> connections;
-    for (int i = 0; i < 40; ++i) {
+    connections.reserve(connectionCount);
+    for (std::size_t i = 0; i < connectionCount; ++i) {
         connections.push_back(std::make_unique<RawConnection>(callers));
     }
     const TimePoint stopAt = Clock::now();
