--- a/src/agatedoor/control/peer_sync.cpp
+++ b/src/agatedoor/control/peer_sync.cpp
@@ -175,7 +175,7 @@
             applyOutput(updateSelf(m_membership, currentRecord(), now, m_random));
         }
         announceNews(now);
-        announceBackendEnds(now);
+        announceBackendEnds(now, now >= nextTick);
         if (now >= nextTick) {
             nextTick = now + tickInterval;
             drainBackendsThatSaidTheyLeave();
@@ -270,10 +270,11 @@
 }
 
 /// Tells peers what this node has learned of unexpected ends of backend servers.
-void PeerSync::announceBackendEnds(TimePoint now)
+/// @param refresh also forgets old ends, without any news
+void PeerSync::announceBackendEnds(TimePoint now, bool refresh)
 {
     const std::vector<BackendEnd> news = m_node.backendEnds.takeNews();
-    if (!news.empty() || !m_membership.ends.byId.empty()) {
+    if (!news.empty() || (refresh && !m_membership.ends.byId.empty())) {
         applyOutput(announceEnds(m_membership, m_node.backendEnds.current(now), news, now, m_random));
     }
 }
--- a/src/agatedoor/control/peer_sync.hpp
+++ b/src/agatedoor/control/peer_sync.hpp
@@ -73,7 +73,7 @@
     void sendBundle(const PeerMessage &request, TimePoint now);
     void applyBundleReply(const PeerMessage &reply, std::size_t bytes, TimePoint now);
     void announceNews(TimePoint now);
-    void announceBackendEnds(TimePoint now);
+    void announceBackendEnds(TimePoint now, bool refresh);
     void applyOutput(MembershipOutput output);
     void publishView(TimePoint now);
     void logMemberChanges();
--- a/src/agatedoor/membership/peer_message.cpp
+++ b/src/agatedoor/membership/peer_message.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t memberOverhead = 48;
 constexpr std::size_t backendOverhead = 28;
 constexpr std::size_t departureOverhead = 16;
+constexpr std::size_t maxContentBytes = 64; ///< Of a request's digest.
 
 messages::Head encodeHeadRecord(const HeadRecord &head)
 {
@@ -57,6 +58,9 @@
     end.id = {message.id()};
     end.forgetAfter = std::chrono::milliseconds(std::min(message.forget_after_ms(), longest));
     for (const auto &request : message.requests()) {
+        if (request.content().size() > maxContentBytes) {
+            continue;
+        }
         end.requests.push_back({{request.content()}, request.answered_since()});
     }
     return end;
