--- a/review/stand_ins/case_watchers.cpp
+++ b/review/1/watchers.cpp
@@ -1,4 +1,4 @@
-#include "fleet.hpp"
+#include "../fleet.hpp"
 
 /// @brief A third of the machines is lost at once, those that watch the store, and the operator changes the configuration.
 using namespace review;
--- a/review/stand_ins/case_departure.cpp
+++ b/review/2/departure.cpp
@@ -1,4 +1,4 @@
-#include "fleet.hpp"
+#include "../fleet.hpp"
 
 /// @brief A target leaves and gets its confirmation, all nodes are killed right after it, and an announcement that the target had sent
 /// before comes late.
