Review case: a node without free descriptors ends by itself and loses what it passed on

Seen: consumers open 4,300 connections to a node that has 4,100 descriptors. At its next call to the store it throws in a thread that catches nothing and ends with SIGABRT. Eight requests on kept connections, run by sound targets, end without an answer.

--- a/review/fleet.hpp
+++ b/review/fleet.hpp
@@ -3,6 +3,7 @@
 #include "store.hpp"
 
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 
 #include <csignal>
@@ -288,6 +289,8 @@
         return store.serve(machine.number, machine.storeAddress);
     }
 
+    static constexpr rlim_t maxFds = 4100; ///< The settings' limits.maxFds.
+
     /// Starts the node with the deploy file's command; the platform's settings file stands at a path of its own.
     void start(Machine &machine)
     {
@@ -295,6 +298,8 @@
         const pid_t child = fork();
         if (child == 0) {
             prctl(PR_SET_PDEATHSIG, SIGKILL);
+            const rlimit descriptors{maxFds, maxFds};
+            setrlimit(RLIMIT_NOFILE, &descriptors);
             const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             dup2(out, 1);
             dup2(out, 2);
