--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")/.."
 
 mkdir -p target/review
-for source in review/[1-5]/*.cpp; do
+for source in review/[1-5]/*.cpp review/descriptors.cpp; do
     g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review/$(basename "$source" .cpp)" "$source"
 done
--- a/review/3/descriptors.cpp
+++ b/review/descriptors.cpp
@@ -1,4 +1,4 @@
-#include "../fleet.hpp"
+#include "fleet.hpp"
 
 /// @brief Many consumers open connections to one node, more than it has descriptors, while others have requests in progress there.
 using namespace review;
