Let each node know until when the store has confirmed the head, and ask when that is too long ago

Cause: a node that doesn't watch didn't know how old its knowledge of the head was. The silence of its peers read like "nothing new", and only the failure detector (4 to 7 s, made for routing) made it ask the store. The silence of an open watch read the same way. Neither the dump nor a request's log line told the age.

Change: the first watcher of the fleet lets the store confirm every 0.9 s that the head hasn't changed. Each other node keeps one question with a peer, which answers when it knows a newer confirmation; that counts from when the question was sent, by the clock that goes on while a VM is suspended, so what was held up makes it older and never newer (membership/head_exchange). A node whose newest confirmation is 1.1 s (watchers, in their order) or 1.25 to 1.55 s old (others, at random) asks the store itself, from the store revision that came with the confirmation, so that an answer without a change carries no text (membership/head_watch). Watches of other watchers end then too. The etcd adapter's poll is a read now, as the seam says; it was a watch that lasted to its deadline. Logs: bundle_age_ms in each request line, head-late with age, source and rank; head_age_ms in dump and metrics.

Why it works: the bound is kept by what each node knows by itself, not by who is thought to be alive. Without the store's word it asks, whatever the reason for the silence.

--- a/include/agatedoor/membership/peer_message.hpp
+++ b/include/agatedoor/membership/peer_message.hpp
@@ -3,6 +3,7 @@
 #include "agatedoor/membership/fleet_table.hpp"
 #include "agatedoor/release/release.hpp"
 #include "agatedoor/state/backend_ends.hpp"
+#include "agatedoor/state/store.hpp"
 
 /// @brief Messages between nodes. Each is idempotent: it may be lost, duplicated or delayed.
 namespace agatedoor {
@@ -17,6 +18,8 @@
     SyncReply, ///< Carries the members in the digest buckets that differ.
     BundleRequest,
     BundleReply,
+    HeadQuestion, ///< Asks for a newer confirmation of the head than the sender knows; answered once there is one.
+    HeadAnswer,
 };
 
 /// @brief An unexpected end of a backend server as it is told to a peer, whose clock is another.
@@ -29,6 +32,18 @@
     friend bool operator==(const BackendEndNews &, const BackendEndNews &) = default;
 };
 
+/// @brief What the store said of the head, as it is told to a peer, whose clock is another.
+struct HeadConfirmationNews
+{
+    Generation generation;
+    /// From the arrival of the question to the time of which the store's word is. Counted from when the question was sent, it is never too late a
+    /// time, however long the messages took.
+    std::chrono::microseconds sinceQuestion{0};
+    StorePosition position;
+
+    friend bool operator==(const HeadConfirmationNews &, const HeadConfirmationNews &) = default;
+};
+
 /// @brief One message between nodes; the fields that its kind doesn't use stay empty.
 struct PeerMessage
 {
@@ -54,6 +69,8 @@
     std::string text; ///< Bundle reply: bundle text.
     std::string packedText; ///< Bundle reply: bundle text as packText makes it, in place of text.
     BundleDigest baseDigest; ///< Bundle reply: the text that packedText was packed against; empty if none.
+    std::optional<std::chrono::microseconds> confirmationAge; ///< Head question: of the newest confirmation that the sender knows; none without one.
+    HeadConfirmationNews confirmation; ///< Head answer.
 };
 
 /// @brief Name of @p kind in metrics and logs.
--- a/include/agatedoor/state/store.hpp
+++ b/include/agatedoor/state/store.hpp
@@ -53,6 +53,8 @@
 {
     Revision revision = 0;
     StoreEra era;
+
+    friend bool operator==(const StorePosition &, const StorePosition &) = default;
 };
 
 /// @brief Key and value in the store.
@@ -113,14 +115,18 @@
     StoreValue value;
 };
 
-/// @brief Changes since a revision; empty if the deadline passed without a change.
+/// @brief Changes since a revision; empty if there was none for as long as the call waited.
 struct WatchReply
 {
     std::vector<StoreEvent> events;
-    Revision revision = 0;
+    Revision revision = 0; ///< 0 if the store said nothing at all.
     StoreEra era; ///< Era of that revision.
+    Duration unchangedFor{0}; ///< By the store's word there was no other change for at least this time from the call on.
 };
 
+/// @brief Part of a watch's time that is left for the store's reply when there is no change.
+inline constexpr std::chrono::milliseconds watchReplyTime{500};
+
 /// @brief Operations of the store. Each blocks at most until its deadline; a watch also ends on a stop request.
 struct Store
 {
@@ -132,7 +138,7 @@
     std::function<StoreResult<Done>(const std::string &key, Deadline)> remove;
     std::function<StoreResult<Lease>(std::chrono::seconds timeToLive, Deadline)> grantLease;
     std::function<StoreResult<Done>(const Lease &, Deadline)> keepLease;
-    /// Waits for the first changes of keys with a prefix at or after a position.
+    /// Waits for the first changes of keys with a prefix at or after a position, until watchReplyTime before the deadline.
     std::function<StoreResult<WatchReply>(const std::string &prefix, const StorePosition &from, Deadline, const std::stop_token &)> watch;
     /// Like watch, but doesn't wait for a change, so that the reply soon tells whether the position still means the same.
     std::function<StoreResult<WatchReply>(const std::string &prefix, const StorePosition &from, Deadline)> poll;
--- a/src/agatedoor/control/contact_sync.cpp
+++ b/src/agatedoor/control/contact_sync.cpp
@@ -30,13 +30,12 @@
 
 } // namespace
 
-ContactSync::ContactSync(NodeState &node, PeerSync &peers, const Store &store, StoreCalls &calls, std::atomic<bool> &contact, std::function<void()> beforeRound)
+ContactSync::ContactSync(NodeState &node, PeerSync &peers, const Store &store, StoreCalls &calls, std::atomic<bool> &contact)
     : m_node(node)
     , m_peers(peers)
     , m_store(store)
     , m_calls(calls)
     , m_contact(contact)
-    , m_beforeRound(std::move(beforeRound))
     , m_role(roleStartedNow())
     , m_pause(node.storeEra)
     , m_thread([this] { run(); })
@@ -58,7 +57,6 @@
 {
     Duration pause = startDelay(m_random);
     while (m_pause.pauseUnlessRestored(pause)) {
-        m_beforeRound();
         dropLeaseOfOtherEra();
         pause = round();
     }
--- a/src/agatedoor/control/contact_sync.hpp
+++ b/src/agatedoor/control/contact_sync.hpp
@@ -18,8 +18,7 @@
 {
 public:
     /// @param contact set while this node keeps its contact key in the store
-    /// @param beforeRound called before each round, on this thread
-    ContactSync(NodeState &node, PeerSync &peers, const Store &store, StoreCalls &calls, std::atomic<bool> &contact, std::function<void()> beforeRound);
+    ContactSync(NodeState &node, PeerSync &peers, const Store &store, StoreCalls &calls, std::atomic<bool> &contact);
     ~ContactSync();
     ContactSync(const ContactSync &) = delete;
     ContactSync &operator=(const ContactSync &) = delete;
@@ -44,7 +43,6 @@
     const Store &m_store;
     StoreCalls &m_calls;
     std::atomic<bool> &m_contact;
-    std::function<void()> m_beforeRound;
     Lease m_lease;
     bool m_registered = false; ///< This node is to keep a contact key, also while a lease for it has to be granted anew.
     Revision m_contactRevision = 0; ///< Revision at which the contact key was written.
--- a/src/agatedoor/control/head_sync.cpp
+++ b/src/agatedoor/control/head_sync.cpp
@@ -3,7 +3,6 @@
 #include "agatedoor/base/random_time.hpp"
 #include "agatedoor/wire/log.hpp"
 #include "bundle_log.hpp"
-#include "chosen.hpp"
 
 #include <algorithm>
 
@@ -12,10 +11,12 @@
 namespace {
 
 constexpr HeadWatchOptions headWatchOptions{};
-constexpr Duration followPeersInterval = std::chrono::seconds(1); ///< While peers deliver the bundles.
+constexpr Duration minFollowInterval = std::chrono::milliseconds(20); ///< Between looks at what peers have delivered.
+constexpr Duration maxFollowInterval = std::chrono::seconds(1);
 constexpr Duration waitForBundleInterval = std::chrono::milliseconds(50); ///< While this node has no bundle.
 constexpr std::chrono::seconds callTimeout{2};
-constexpr std::chrono::seconds watchTimeout{25}; ///< Bounds how long a dead connection goes unnoticed; meanwhile peers announce new generations.
+constexpr std::chrono::seconds watchTime{24}; ///< Bounds how long a dead connection goes unnoticed; meanwhile peers announce new generations.
+constexpr std::chrono::milliseconds minWatchTime{50}; ///< Instead of a shorter watch, the store is asked without waiting.
 constexpr std::chrono::seconds fullReadInterval{60}; ///< Between full reads of the head, beside the watch.
 constexpr Duration minChangePause = std::chrono::milliseconds(200);
 /// Randomizes the pause; nodes whose pause ends first announce the change to the others.
@@ -53,6 +54,12 @@
              {"era", loggable(reply.era)}});
 }
 
+/// A reply that comes sooner than the store can have waited is taken for one to a call without waiting.
+Duration waitedFor(const WatchReply &reply, Duration took)
+{
+    return reply.unchangedFor <= took ? reply.unchangedFor : Duration::zero();
+}
+
 } // namespace
 
 HeadSync::HeadSync(NodeState &node, PeerSync &peers, const Store &store, StoreCalls &calls, ReleaseSource releases, std::function<bool()> isContact)
@@ -66,10 +73,12 @@
     , m_pause(node.storeEra)
     , m_thread([this] { run(); })
 {
+    m_peers.onTick([this] { endOutdatedWatch(); });
 }
 
 HeadSync::~HeadSync()
 {
+    m_peers.onTick({});
     beginStop();
     m_thread.join();
 }
@@ -86,6 +95,7 @@
 
 void HeadSync::run()
 {
+    drawLimitDelay(m_state, headWatchOptions, m_random);
     Duration pause = startDelay(m_random);
     while (m_pause.pauseUnlessRestored(pause)) {
         pause = round();
@@ -97,49 +107,116 @@
     return m_node.bundles.current()->head.generation.value != 0;
 }
 
-HeadAction HeadSync::dueAction()
+HeadWatchView HeadSync::view()
 {
-    const FleetRoster roster = m_peers.roster();
+    const HeadPlace place = m_peers.headPlace();
     HeadWatchView view;
-    view.isolated = roster.present.size() == 1;
-    view.selected = isChosen(m_node.settings, roster, "watch", m_node.settings.watchersPerRegion);
+    view.isolated = place.isolated;
+    view.rank = place.rank;
+    view.selected = place.rank < m_node.settings.watchersPerRegion;
+    view.isFirst = place.isFirst;
     view.isContact = m_isContact();
     view.hasBundle = hasBundle();
-    return nextHeadAction(m_state, view, headWatchOptions, Clock::now());
+    view.confirmationAge = confirmationAge();
+    return view;
+}
+
+/// Without a confirmation, time since this node has a bundle.
+Duration HeadSync::confirmationAge()
+{
+    const BootTime now = BootClock::now();
+    if (!hasBundle()) {
+        return Duration::zero();
+    }
+    m_hasBundleSince = m_hasBundleSince.value_or(now);
+    return ageOf(m_node.headConfirmation.current(), now).value_or(now - *m_hasBundleSince);
 }
 
 Duration HeadSync::round()
 {
-    const HeadAction action = dueAction();
+    const HeadWatchView view = this->view();
+    const HeadAction action = nextHeadAction(m_state, view, headWatchOptions, Clock::now());
     const bool watching = action == HeadAction::Watch;
     if (m_watcher.exchange(watching) != watching) {
         logLine(LogLevel::Info, "head-watch", {{"outcome", std::string(watching ? "begun" : "ended")}});
     }
-    if (!watching || m_position.era != m_node.storeEra.value()) {
-        m_position = {};
-    }
     if (action == HeadAction::None) {
-        return m_state.joined && hasBundle() ? followPeersInterval : waitForBundleInterval;
+        return pauseWithoutCall(view);
     }
     m_changed = false;
+    m_limit = renewsConfirmation(view) ? Duration::max() : confirmationLimit(m_state, view, headWatchOptions);
+    takeKnownPosition();
+    if (action == HeadAction::Confirm) {
+        logLate(view);
+        drawLimitDelay(m_state, headWatchOptions, m_random);
+    }
     const HeadKnowledge knowledge{m_position.revision != 0, {m_nextFullRead}, m_node.bundles.current()->head.generation, m_readGeneration};
-    if (!(shouldReadHead(knowledge, Clock::now()) ? readAndApply() : watch())) {
+    if (!(shouldReadHead(knowledge, Clock::now()) ? readAndApply() : watch(waitTime(view, action)))) {
         recordFailedRead(m_state, Clock::now());
-        return nextBackOff(m_failures, m_random);
+        return pauseAfterFailure(view);
     }
     m_failures = 0;
     return pauseAfterRound();
 }
 
-/// Pause before the next watch: none, or after a change a random time, so that changes in quick succession arrive in one reply.
+/// Until the confirmation of the head will be too old, unless a peer brings a newer one meanwhile.
+Duration HeadSync::pauseWithoutCall(const HeadWatchView &view) const
+{
+    if (!m_state.joined || !view.hasBundle) {
+        return waitForBundleInterval;
+    }
+    const Duration left = confirmationLimit(m_state, view, headWatchOptions) - view.confirmationAge;
+    return std::clamp<Duration>(left, minFollowInterval, maxFollowInterval);
+}
+
+Duration HeadSync::pauseAfterFailure(const HeadWatchView &view)
+{
+    const auto pause = pauseOfUnselected(view, m_failures, headWatchOptions, m_random);
+    const Duration backOff = nextBackOff(m_failures, m_random);
+    return pause.value_or(backOff);
+}
+
+/// A position that peers know is as good as an own one: what has changed before it is in force here.
+void HeadSync::takeKnownPosition()
+{
+    const StoreEra era = m_node.storeEra.value();
+    if (m_position.era != era) {
+        m_position = {};
+    }
+    const auto known = m_node.headConfirmation.current();
+    if (known && known->position.era == era && known->position.revision > m_position.revision) {
+        m_position = known->position;
+        m_positionUnconfirmed = true;
+        m_nextFullRead = Clock::now() + fullReadInterval;
+        m_readGeneration = std::max(m_readGeneration, known->generation);
+    }
+}
+
+void HeadSync::logLate(const HeadWatchView &view) const
+{
+    const auto known = m_node.headConfirmation.current();
+    logLine(LogLevel::Info, "head-late",
+            {{"age_ms", view.confirmationAge / std::chrono::milliseconds(1)},
+             {"from", known ? known->from.value : std::string()},
+             {"rank", static_cast<std::int64_t>(view.rank)},
+             {"generation", static_cast<std::int64_t>(m_node.bundles.current()->head.generation.value)}});
+}
+
+/// Pause before the next call: none, or after a change a random time, so that changes in quick succession arrive in one reply; but not longer than
+/// until the confirmation is to be renewed.
 Duration HeadSync::pauseAfterRound()
 {
-    return m_changed ? minChangePause + uniformTime(m_random, changePauseSpread) : Duration::zero();
+    if (!m_changed) {
+        return Duration::zero();
+    }
+    const Duration pause = minChangePause + uniformTime(m_random, changePauseSpread);
+    return std::clamp<Duration>(headWatchOptions.renewAfter - confirmationAge(), Duration::zero(), pause);
 }
 
 bool HeadSync::readAndApply()
 {
     const Generation before = m_node.bundles.current()->head.generation;
+    const BootTime askedAt = BootClock::now();
     const auto reply = m_store.range(m_releases.key, callDeadline());
     if (!m_calls.record(StoreCall::ReadHead, reply)) {
         return false;
@@ -155,37 +232,57 @@
         }
     }
     m_readGeneration = std::max(m_readGeneration, before);
+    confirmHead(askedAt);
     return m_position.era == m_node.storeEra.value(); // Otherwise the reply crossed one of a newer era.
 }
 
-/// Lets the watch that follows be ended by endWatchOfOtherEra() and by a stop.
+/// Lets the watch that follows be ended by endOutdatedWatch() and by a stop.
 std::stop_token HeadSync::beginWatch()
 {
     const std::lock_guard lock(m_watchMutex);
     m_watchStop = {};
     m_watchedEra = m_position.era;
+    m_watchLimit = m_limit;
     if (m_stopping) {
         m_watchStop.request_stop();
     }
     return m_watchStop.get_token();
 }
 
-/// Ends a watch that began before a restore: the store may never answer it.
-void HeadSync::endWatchOfOtherEra()
+void HeadSync::endOutdatedWatch()
 {
+    const auto confirmedAt = m_node.headConfirmation.confirmedAt();
     const std::lock_guard lock(m_watchMutex);
-    if (m_watchedEra != m_node.storeEra.value()) {
+    const bool late = confirmedAt && BootClock::now() - *confirmedAt >= m_watchLimit;
+    if (late || m_watchedEra != m_node.storeEra.value()) {
         m_watchStop.request_stop();
     }
 }
 
-StoreResult<WatchReply> HeadSync::askForChanges()
+/// How long the store is to wait for a change: in the first of the fleet until the next confirmation is due.
+Duration HeadSync::waitTime(const HeadWatchView &view, HeadAction action)
+{
+    if (action == HeadAction::Confirm || m_positionUnconfirmed) {
+        return Duration::zero();
+    }
+    return renewsConfirmation(view) ? headWatchOptions.renewAfter - confirmationAge() : watchTime;
+}
+
+StoreResult<WatchReply> HeadSync::askForChanges(Duration wait)
 {
     const StorePosition from{m_position.revision + 1, m_position.era};
-    if (m_positionUnconfirmed) {
+    if (wait < minWatchTime) {
         return m_store.poll(m_releases.key, from, callDeadline());
     }
-    return m_store.watch(m_releases.key, from, deadlineAfter(Clock::now(), watchTimeout), beginWatch());
+    return m_store.watch(m_releases.key, from, deadlineAfter(Clock::now(), wait + watchReplyTime), beginWatch());
+}
+
+/// Notes that the store has confirmed the bundle in force, and tells the peers that wait for it.
+void HeadSync::confirmHead(BootTime at)
+{
+    const Generation inForce = m_node.bundles.current()->head.generation;
+    m_node.headConfirmation.record({inForce, at, m_position, m_node.settings.node}, inForce);
+    m_peers.notifyHeadConfirmed();
 }
 
 /// Keeps the position for the next watch unless the store has dropped the history since, or has been restored.
@@ -200,9 +297,10 @@
     return false;
 }
 
-bool HeadSync::watch()
+bool HeadSync::watch(Duration wait)
 {
-    const auto reply = askForChanges();
+    const BootTime askedAt = BootClock::now();
+    const auto reply = askForChanges(wait);
     if (!reply && m_watchStop.stop_requested()) {
         m_calls.count(StoreCall::WatchHead);
         return true;
@@ -214,7 +312,11 @@
     logWatchReply(m_position.revision + 1, reply.value());
     m_position.revision = std::max(m_position.revision, reply.value().revision);
     m_changed = !reply.value().events.empty();
-    return applyNewest(reply.value().events);
+    const bool applied = applyNewest(reply.value().events);
+    if (applied && reply.value().revision != 0) {
+        confirmHead(askedAt + waitedFor(reply.value(), BootClock::now() - askedAt));
+    }
+    return applied;
 }
 
 /// Applies the last change of the head, which supersedes earlier ones. While it can't be read, the last readable one is applied and the head
--- a/src/agatedoor/control/head_sync.hpp
+++ b/src/agatedoor/control/head_sync.hpp
@@ -9,14 +9,16 @@
 #include <atomic>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <stop_token>
 #include <thread>
 
 /// @brief Follows the head record of the bundle in force in the store.
 namespace agatedoor {
 
-/// @brief Watches the head on a thread of its own, since store calls block. Only a few nodes of a region watch; a bundle is applied only if
-/// its generation is newer, so more of them do no harm.
+/// @brief Watches the head on a thread of its own, since store calls block. Only a few nodes of a region watch, and another one asks when no peer
+/// has passed on the store's confirmation for too long; a bundle is applied only if its generation is newer, so more of them do no harm.
+/// A watch ends when that confirmation is too old, or after a restore: the store may never answer it.
 class HeadSync
 {
 public:
@@ -29,9 +31,6 @@
     /// @brief Starts the stop without waiting for it: a watch in progress is cancelled, another call runs to its end.
     void beginStop();
 
-    /// @brief Ends a watch that began before a restore: the store may never answer it. For any thread.
-    void endWatchOfOtherEra();
-
     /// @brief This node watches the head for its region.
     bool isWatcher() const { return m_watcher.load(); }
 
@@ -39,10 +38,18 @@
     void run();
     Duration round();
     bool hasBundle() const;
-    HeadAction dueAction();
+    HeadWatchView view();
+    Duration confirmationAge();
+    Duration pauseWithoutCall(const HeadWatchView &view) const;
+    Duration pauseAfterFailure(const HeadWatchView &view);
+    void takeKnownPosition();
+    void logLate(const HeadWatchView &view) const;
     bool readAndApply();
-    bool watch();
-    StoreResult<WatchReply> askForChanges();
+    Duration waitTime(const HeadWatchView &view, HeadAction action);
+    bool watch(Duration wait);
+    StoreResult<WatchReply> askForChanges(Duration wait);
+    void endOutdatedWatch();
+    void confirmHead(BootTime at);
     bool recordFailedWatch(StoreErrorKind error);
     std::stop_token beginWatch();
     Duration pauseAfterRound();
@@ -62,11 +69,14 @@
     Generation m_readGeneration; ///< Newest generation read from the store, or in force before the last full read.
     bool m_changed = false; ///< The last watch returned a change.
     int m_failures = 0; ///< Rounds that failed in a row.
+    std::optional<BootTime> m_hasBundleSince;
+    Duration m_limit = Duration::max(); ///< Age of the confirmation at which a watch that begins now ends.
     Random m_random = entropyRandom();
     std::atomic<bool> m_watcher{false};
-    std::mutex m_watchMutex; ///< Guards the three below.
+    std::mutex m_watchMutex; ///< Guards the four below.
     std::stop_source m_watchStop; ///< Ends the watch in progress.
     StoreEra m_watchedEra; ///< Era that the watch in progress is of.
+    Duration m_watchLimit = Duration::max(); ///< Age of the confirmation at which it ends.
     bool m_stopping = false;
     StorePause m_pause;
     std::thread m_thread;
--- a/src/agatedoor/control/node_state.hpp
+++ b/src/agatedoor/control/node_state.hpp
@@ -5,6 +5,7 @@
 #include "agatedoor/proxy/edge_headers.hpp"
 #include "agatedoor/release/bundle_controller.hpp"
 #include "agatedoor/state/backend_notices.hpp"
+#include "agatedoor/state/head_confirmation.hpp"
 #include "agatedoor/state/newest_era.hpp"
 #include "agatedoor/state/path_delays.hpp"
 #include "agatedoor/state/settings.hpp"
@@ -42,6 +43,7 @@
     const EdgeHeaders edge;
     SharedIncarnation incarnation;
     BundleController bundles;
+    SharedHeadConfirmation headConfirmation; ///< Until when the store has confirmed the bundle in force, by this node's calls or peers' word.
     LocalBackendController localBackends;
     Snapshot<FleetView> fleet;
     PathDelays pathDelays;
--- a/src/agatedoor/control/peer_sync.cpp
+++ b/src/agatedoor/control/peer_sync.cpp
@@ -46,6 +46,7 @@
     , m_exchange(startBundleExchange({}, Clock::now()))
 {
     agatedoor::addContacts(m_membership, node.settings.seeds);
+    m_headPeers = headPeersOf(m_membership.table, m_membership.self, node.settings.watchersPerRegion);
 }
 
 Result<std::unique_ptr<PeerSync>, ListenError> PeerSync::start(NodeState &node)
@@ -80,6 +81,29 @@
     m_workAvailable.notify_all();
 }
 
+void PeerSync::notifyHeadConfirmed()
+{
+    {
+        const std::lock_guard lock(m_inboxMutex);
+        m_headConfirmed = true;
+    }
+    m_workAvailable.notify_all();
+}
+
+void PeerSync::onTick(std::function<void()> listener)
+{
+    const std::lock_guard lock(m_listenerMutex);
+    m_tickListener = std::move(listener);
+}
+
+void PeerSync::callTickListener()
+{
+    const std::lock_guard lock(m_listenerMutex);
+    if (m_tickListener) {
+        m_tickListener();
+    }
+}
+
 void PeerSync::addContacts(const std::vector<Endpoint> &contacts)
 {
     const std::lock_guard lock(m_stateMutex);
@@ -117,6 +141,12 @@
     return roster;
 }
 
+HeadPlace PeerSync::headPlace() const
+{
+    const std::lock_guard lock(m_stateMutex);
+    return {presentMembers(m_membership).size() == 1, m_headPeers.ownRank, m_headPeers.isFirst};
+}
+
 PeerSyncStats PeerSync::stats() const
 {
     const std::lock_guard lock(m_stateMutex);
@@ -148,8 +178,9 @@
 std::deque<std::string> PeerSync::waitForWork(bool &recordChanged)
 {
     std::unique_lock lock(m_inboxMutex);
-    m_workAvailable.wait_for(lock, tickInterval, [this] { return m_stop || m_recordChanged || m_generationChanged || !m_inbox.empty(); });
+    m_workAvailable.wait_for(lock, tickInterval, [this] { return m_stop || m_recordChanged || m_generationChanged || m_headConfirmed || !m_inbox.empty(); });
     m_generationChanged = false;
+    m_headConfirmed = false;
     recordChanged = std::exchange(m_recordChanged, false);
     return std::exchange(m_inbox, {});
 }
@@ -166,6 +197,7 @@
                 return;
             }
         }
+        callTickListener();
         const std::lock_guard lock(m_stateMutex);
         const TimePoint now = Clock::now();
         for (const auto &bytes : messages) {
@@ -175,6 +207,7 @@
             applyOutput(updateSelf(m_membership, currentRecord(), now, m_random));
         }
         announceNews(now);
+        exchangeHeadConfirmations();
         announceBackendEnds(now, now >= nextTick);
         if (now >= nextTick) {
             nextTick = now + tickInterval;
@@ -213,6 +246,7 @@
     } else if (message->kind == PeerMessageKind::BundleReply) {
         applyBundleReply(*message, bytes.size(), now);
     }
+    takeHeadMessage(*message);
     requestNewerBundle(*message, now);
 }
 
@@ -269,6 +303,33 @@
     }
 }
 
+void PeerSync::takeHeadMessage(const PeerMessage &message)
+{
+    const BootTime now = BootClock::now();
+    if (message.kind == PeerMessageKind::HeadQuestion) {
+        holdHeadQuestion(m_headExchange, message, now);
+    }
+    const auto told = message.kind == PeerMessageKind::HeadAnswer ? takeHeadAnswer(m_headExchange, message, now) : std::nullopt;
+    if (told) {
+        m_node.headConfirmation.record(*told, m_node.bundles.current()->head.generation);
+    }
+}
+
+/// Answers peers that wait for a newer confirmation of the head than they know, and asks for one.
+void PeerSync::exchangeHeadConfirmations()
+{
+    const BootTime now = BootClock::now();
+    SharedHeadConfirmation &known = m_node.headConfirmation;
+    known.noteInForce(m_node.bundles.current()->head.generation);
+    for (auto &answer : dueHeadAnswers(m_headExchange, m_membership, known.current())) {
+        m_transport->send(answer.to, std::move(answer.bytes));
+    }
+    auto question = dueHeadQuestion(m_headExchange, m_membership, m_headPeers, known.newestAt(), now, m_random);
+    if (question) {
+        m_transport->send(question->to, std::move(question->bytes));
+    }
+}
+
 /// Tells peers what this node has learned of unexpected ends of backend servers.
 /// @param refresh also forgets old ends, without any news
 void PeerSync::announceBackendEnds(TimePoint now, bool refresh)
@@ -306,6 +367,7 @@
         return;
     }
     m_viewChanged = false;
+    m_headPeers = headPeersOf(m_membership.table, m_membership.self, m_node.settings.watchersPerRegion);
     logMemberChanges();
     const NodeLocation here{m_node.settings.node, m_node.settings.zone, m_node.settings.region};
     m_node.fleet.publish(buildView(m_membership.table, here, *m_node.fleet.current(), now, m_membership.heldMembers > 0));
--- a/src/agatedoor/control/peer_sync.hpp
+++ b/src/agatedoor/control/peer_sync.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "agatedoor/membership/bundle_exchange.hpp"
+#include "agatedoor/membership/head_exchange.hpp"
 #include "agatedoor/wire/peer_transport.hpp"
 #include "node_state.hpp"
 
 #include <condition_variable>
 #include <deque>
+#include <functional>
 #include <mutex>
 #include <thread>
 
@@ -19,6 +21,14 @@
     bool joined = false; ///< A member has answered a digest comparison.
 };
 
+/// @brief A node's place among those that ask the store for the head.
+struct HeadPlace
+{
+    bool isolated = false; ///< The node knows no other node.
+    std::size_t rank = 0; ///< See HeadPeers::ownRank.
+    bool isFirst = false; ///< See HeadPeers::isFirst.
+};
+
 /// @brief Statistics for the dump and the metrics.
 struct PeerSyncStats
 {
@@ -52,6 +62,12 @@
     /// @brief Announces to peers at once that another bundle generation is in force on this node, or that it knows a newer era of the store.
     void notifyGenerationChanged();
 
+    /// @brief Passes a new confirmation of the head on to the peers that wait for one.
+    void notifyHeadConfirmed();
+
+    /// @brief Calls @p listener regularly, on the thread of the protocol; it must not block.
+    void onTick(std::function<void()> listener);
+
     /// @brief Adds addresses of nodes through which to join the fleet.
     void addContacts(const std::vector<Endpoint> &contacts);
 
@@ -59,6 +75,7 @@
     void leave();
 
     FleetRoster roster() const;
+    HeadPlace headPlace() const;
     PeerSyncStats stats() const;
 
 private:
@@ -72,7 +89,10 @@
     void requestNewerBundle(const PeerMessage &message, TimePoint now);
     void sendBundle(const PeerMessage &request, TimePoint now);
     void applyBundleReply(const PeerMessage &reply, std::size_t bytes, TimePoint now);
+    void callTickListener();
     void announceNews(TimePoint now);
+    void takeHeadMessage(const PeerMessage &message);
+    void exchangeHeadConfirmations();
     void announceBackendEnds(TimePoint now, bool refresh);
     void applyOutput(MembershipOutput output);
     void publishView(TimePoint now);
@@ -86,15 +106,20 @@
     Membership m_membership;
     PeerSyncStats m_stats;
     BundleExchange m_exchange;
+    HeadExchange m_headExchange;
+    HeadPeers m_headPeers;
     bool m_viewChanged = true;
     std::map<NodeId, MemberStatus> m_loggedStatuses; ///< Status of each member as last logged.
     bool m_joinLogged = false;
+    std::mutex m_listenerMutex;
+    std::function<void()> m_tickListener;
     std::mutex m_inboxMutex;
     std::condition_variable m_workAvailable;
     std::deque<std::string> m_inbox;
     std::uint64_t m_overflowed = 0;
     bool m_recordChanged = false;
     bool m_generationChanged = false;
+    bool m_headConfirmed = false;
     bool m_stop = false;
     std::thread m_thread;
 };
--- a/src/agatedoor/control/store_sync.cpp
+++ b/src/agatedoor/control/store_sync.cpp
@@ -6,7 +6,7 @@
     : m_store(std::move(store))
     , m_calls(node, peers, m_store.newestEra)
     , m_head(node, peers, m_store, m_calls, std::move(releases), [this] { return m_contact.load(); })
-    , m_contacts(node, peers, m_store, m_calls, m_contact, [this] { m_head.endWatchOfOtherEra(); })
+    , m_contacts(node, peers, m_store, m_calls, m_contact)
 {
 }
 
--- a/src/agatedoor/membership/head_watch.cpp
+++ b/src/agatedoor/membership/head_watch.cpp
@@ -1,5 +1,7 @@
 #include "agatedoor/membership/head_watch.hpp"
 
+#include "agatedoor/base/random_time.hpp"
+
 namespace agatedoor {
 
 namespace {
@@ -54,6 +56,32 @@
     return !knowledge.revisionKnown || expired(knowledge.fullReadBy, now) || knowledge.inForce > knowledge.readFromStore;
 }
 
+Duration confirmationLimit(const HeadWatchState &state, const HeadWatchView &view, const HeadWatchOptions &options)
+{
+    if (view.selected) {
+        return options.selectedLimit + options.limitPerRank * static_cast<std::int64_t>(view.rank);
+    }
+    return options.otherLimit + state.limitDelay;
+}
+
+bool renewsConfirmation(const HeadWatchView &view)
+{
+    return view.isolated || view.isFirst;
+}
+
+void drawLimitDelay(HeadWatchState &state, const HeadWatchOptions &options, Random &random)
+{
+    state.limitDelay = uniformTime(random, options.otherLimitSpread);
+}
+
+std::optional<Duration> pauseOfUnselected(const HeadWatchView &view, int failed, const HeadWatchOptions &options, Random &random)
+{
+    if (view.isolated || view.selected || !view.hasBundle || failed == 0) {
+        return std::nullopt;
+    }
+    return options.failurePause + uniformTime(random, options.failurePauseSpread);
+}
+
 HeadAction nextHeadAction(HeadWatchState &state, const HeadWatchView &view, const HeadWatchOptions &options, TimePoint now)
 {
     if (view.isolated) {
@@ -68,10 +96,14 @@
         state.peersDeliverBy = deadlineAfter(now, options.peerTime);
     }
     state.watching = shouldWatchAmongPeers(state, view, options, now);
+    const bool late = view.hasBundle && view.confirmationAge >= confirmationLimit(state, view, options);
     if (state.watching) {
-        return HeadAction::Watch;
+        return late && !renewsConfirmation(view) ? HeadAction::Confirm : HeadAction::Watch;
+    }
+    if (mustReadItself(state, view, options, now)) {
+        return HeadAction::Read;
     }
-    return mustReadItself(state, view, options, now) ? HeadAction::Read : HeadAction::None;
+    return late ? HeadAction::Confirm : HeadAction::None;
 }
 
 void recordFailedRead(HeadWatchState &state, TimePoint now)
--- a/src/agatedoor/membership/head_watch_test.cpp
+++ b/src/agatedoor/membership/head_watch_test.cpp
@@ -2,6 +2,8 @@
 
 #include "support/story.hpp"
 
+#include <set>
+
 namespace agatedoor {
 
 namespace {
@@ -114,6 +116,45 @@
     });
 }
 
+/// Guards against a node that takes the silence of its peers for the word that nothing has changed.
+TEST(HeadWatch, ANodeAsksTheStoreWhenItsConfirmationIsTooOld)
+{
+    HeadWatchState state = settledNode();
+    Random random{1};
+    const auto actionAt = [&](std::size_t rank, Duration age) {
+        return nextHeadAction(state, {.rank = rank, .selected = rank < 6, .hasBundle = true, .confirmationAge = age}, options, start);
+    };
+    section("the selected ones in the order of their rank", [&] {
+        EXPECT_EQ(actionAt(1, options.selectedLimit), HeadAction::None);
+        EXPECT_EQ(actionAt(1, options.selectedLimit + options.limitPerRank), HeadAction::Confirm);
+        EXPECT_EQ(actionAt(5, options.selectedLimit + options.limitPerRank * 4), HeadAction::None);
+        EXPECT_EQ(actionAt(5, options.selectedLimit + options.limitPerRank * 5), HeadAction::Confirm);
+    });
+    section("then the others, at different times", [&] {
+        std::set<Duration> limits;
+        for (int i = 0; i < 20; ++i) {
+            drawLimitDelay(state, options, random);
+            const Duration limit = options.otherLimit + state.limitDelay;
+            EXPECT_EQ(actionAt(9, limit - milliseconds(1)), HeadAction::None);
+            EXPECT_EQ(actionAt(9, limit), HeadAction::Confirm);
+            EXPECT_LT(limit, seconds(2));
+            limits.insert(limit);
+        }
+        EXPECT_EQ(limits.size(), 20U);
+    });
+    section("a watcher too, unless it is the first of the fleet, whose watch is confirmed anyway", [&] {
+        HeadWatchState watcher = settledNode();
+        const HeadWatchView late{.rank = 1, .selected = true, .hasBundle = true, .confirmationAge = seconds(9)};
+        HeadWatchView first = late;
+        first.isFirst = true;
+        nextHeadAction(watcher, late, options, start);
+        EXPECT_EQ(nextHeadAction(watcher, late, options, start + options.settleTime), HeadAction::Confirm);
+        EXPECT_EQ(nextHeadAction(watcher, first, options, start + options.settleTime), HeadAction::Watch);
+    });
+    section("a node without a bundle has nothing to confirm",
+            [&] { EXPECT_EQ(nextHeadAction(state, {.rank = 9, .confirmationAge = seconds(9)}, options, start), HeadAction::None); });
+}
+
 /// Guards against a watcher that lags and has to take every version that it missed over a narrow link.
 TEST(HeadWatch, AWatcherThatPeersOvertookReadsOnlyTheNewestVersion)
 {
--- a/src/agatedoor/membership/membership.cpp
+++ b/src/agatedoor/membership/membership.cpp
@@ -182,6 +182,8 @@
     case PeerMessageKind::Gossip:
     case PeerMessageKind::BundleRequest:
     case PeerMessageKind::BundleReply:
+    case PeerMessageKind::HeadQuestion:
+    case PeerMessageKind::HeadAnswer:
         break;
     }
     syncWithUnknownSender(membership, message, now, output);
--- a/src/agatedoor/membership/peer_message.cpp
+++ b/src/agatedoor/membership/peer_message.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t backendOverhead = 28;
 constexpr std::size_t departureOverhead = 16;
 constexpr std::size_t maxContentBytes = 64; ///< Of a request's digest.
+constexpr std::uint64_t maxToldMicroseconds = 3'600'000'000; ///< Longer times in messages are read as this.
 
 messages::Head encodeHeadRecord(const HeadRecord &head)
 {
@@ -66,6 +67,24 @@
     return end;
 }
 
+void encodeConfirmation(const HeadConfirmationNews &confirmation, messages::HeadConfirmation &message)
+{
+    message.set_generation(confirmation.generation.value);
+    message.set_since_question_us(confirmation.sinceQuestion.count());
+    message.set_revision(confirmation.position.revision);
+    message.set_era(confirmation.position.era.value);
+}
+
+HeadConfirmationNews decodeConfirmation(const messages::HeadConfirmation &message)
+{
+    constexpr auto longest = static_cast<std::int64_t>(maxToldMicroseconds);
+    HeadConfirmationNews confirmation;
+    confirmation.generation = {message.generation()};
+    confirmation.sinceQuestion = std::chrono::microseconds(std::clamp<std::int64_t>(message.since_question_us(), -longest, longest));
+    confirmation.position = {message.revision(), {message.era()}};
+    return confirmation;
+}
+
 } // namespace
 
 std::string_view wireName(PeerMessageKind kind)
@@ -87,6 +106,10 @@
         return "bundle-request";
     case PeerMessageKind::BundleReply:
         return "bundle-reply";
+    case PeerMessageKind::HeadQuestion:
+        return "head-question";
+    case PeerMessageKind::HeadAnswer:
+        return "head-answer";
     }
     return "unnamed";
 }
@@ -127,6 +150,12 @@
         encoded.set_packed_text(message.packedText);
         encoded.set_base_digest(message.baseDigest.value);
     }
+    if (message.confirmationAge) {
+        encoded.set_confirmation_age_us(static_cast<std::uint64_t>(message.confirmationAge->count()));
+    }
+    if (message.kind == PeerMessageKind::HeadAnswer) {
+        encodeConfirmation(message.confirmation, *encoded.mutable_confirmation());
+    }
     return encoded.SerializeAsString();
 }
 
@@ -134,7 +163,7 @@
 {
     messages::PeerMessage encoded;
     const bool parsed = encoded.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
-    if (!parsed || encoded.from().empty() || encoded.kind() > static_cast<std::uint32_t>(PeerMessageKind::BundleReply)) {
+    if (!parsed || encoded.from().empty() || encoded.kind() > static_cast<std::uint32_t>(PeerMessageKind::HeadAnswer)) {
         return std::nullopt;
     }
     PeerMessage message;
@@ -169,6 +198,10 @@
     message.readsPackedText = encoded.reads_packed_text();
     message.packedText = encoded.packed_text();
     message.baseDigest = {encoded.base_digest()};
+    if (encoded.has_confirmation_age_us()) {
+        message.confirmationAge = std::chrono::microseconds(std::min(encoded.confirmation_age_us(), maxToldMicroseconds));
+    }
+    message.confirmation = decodeConfirmation(encoded.confirmation());
     return message;
 }
 
--- a/src/agatedoor/node/admin_api.cpp
+++ b/src/agatedoor/node/admin_api.cpp
@@ -107,12 +107,24 @@
     return delays;
 }
 
+/// Time since the store confirmed that no bundle is newer than the one in force; -1 without its word.
+std::int64_t headAgeMs(const NodeState &node)
+{
+    const auto confirmedAt = node.headConfirmation.confirmedAt();
+    return confirmedAt ? (BootClock::now() - *confirmedAt) / std::chrono::milliseconds(1) : -1;
+}
+
 json::object dumpBundle(const NodeState &node)
 {
     const auto bundle = node.bundles.current();
     return {
-        {"generation", bundle->head.generation.value}, {"digest", bundle->head.digest.value},        {"operation", bundle->head.operation.value},
-        {"operator", bundle->head.operatorName},       {"services", bundle->bundle.services.size()}, {"routes", bundle->bundle.routes.size()},
+        {"generation", bundle->head.generation.value},
+        {"digest", bundle->head.digest.value},
+        {"operation", bundle->head.operation.value},
+        {"operator", bundle->head.operatorName},
+        {"services", bundle->bundle.services.size()},
+        {"routes", bundle->bundle.routes.size()},
+        {"head_age_ms", headAgeMs(node)},
     };
 }
 
@@ -192,6 +204,7 @@
         text += readOnWorker<std::string>(target, [&target] { return prometheusText(target.metrics, target.index); });
     }
     text += "agatedoor_bundle_generation " + std::to_string(node.bundles.current()->head.generation.value) + "\n";
+    text += "agatedoor_head_age_ms " + std::to_string(headAgeMs(node)) + "\n";
     text += prometheusText(readFleetStats());
     text += "agatedoor_in_flight " + std::to_string(node.inFlight.load()) + "\n";
     text += gateMetrics(*node.localBackends.current());
--- a/src/agatedoor/proxy/caller/filter.cpp
+++ b/src/agatedoor/proxy/caller/filter.cpp
@@ -59,6 +59,8 @@
 asio::awaitable<FilterVerdict> pinBundle(RequestContext &context)
 {
     context.bundle = context.worker.node.bundles.current();
+    context.bundleTakenAt = BootClock::now();
+    context.bundleConfirmedAt = context.worker.node.headConfirmation.confirmedAt();
     if (context.bundle->head.generation.value == 0) {
         co_return refuse(context, Reason::NoBundle);
     }
--- a/src/agatedoor/proxy/caller/request_record.cpp
+++ b/src/agatedoor/proxy/caller/request_record.cpp
@@ -12,6 +12,12 @@
     return context.bodyReadAt == TimePoint{} ? std::chrono::microseconds(0) : inMicroseconds(context.bodyReadAt - context.arrivedAt);
 }
 
+/// Time from the store's last confirmation of the bundle, when the request took it; -1 without one.
+std::int64_t bundleAgeMs(const RequestContext &context)
+{
+    return context.bundleConfirmedAt ? (context.bundleTakenAt - *context.bundleConfirmedAt) / std::chrono::milliseconds(1) : -1;
+}
+
 void logRequest(const RequestContext &context)
 {
     const auto method = context.request.method_string();
@@ -23,6 +29,7 @@
                 {"method", std::string(method)},
                 {"target", std::string(target)},
                 {"bundle", generation},
+                {"bundle_age_ms", bundleAgeMs(context)},
                 {"peer", context.servedBy.value},
                 {"outcome", std::string(wireName(context.result.outcome))},
                 {"reason", std::string(wireName(context.result.reason))},
--- a/src/agatedoor/proxy/request_context.hpp
+++ b/src/agatedoor/proxy/request_context.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "agatedoor/base/boot_time.hpp"
 #include "agatedoor/release/bundle_controller.hpp"
 #include "attempt.hpp"
 #include "cancellation.hpp"
 #include "worker.hpp"
 
 #include <functional>
+#include <optional>
 
 /// @brief State of one caller's request in the filter chain.
 namespace agatedoor {
@@ -31,6 +33,8 @@
     Deadline deadline;
     std::int64_t depth = 0; ///< Depth of nested calls, including this one.
     std::shared_ptr<const BundleInForce> bundle; ///< Configuration that the whole request uses.
+    BootTime bundleTakenAt;
+    std::optional<BootTime> bundleConfirmedAt; ///< Until when, by then, the store had confirmed the bundle; none without its word.
     const Route *route = nullptr; ///< Part of bundle.
     const Service *service = nullptr; ///< Part of bundle.
     bool nearOnly = true; ///< The next attempt stays in this region as long as it has a usable backend server.
--- a/src/agatedoor/wire/etcd_store.cpp
+++ b/src/agatedoor/wire/etcd_store.cpp
@@ -351,6 +351,23 @@
     }
 };
 
+/// Reads the keys that have changed since a position, each as it is now; removals are left out.
+StoreResult<WatchReply> poll(const std::vector<Endpoint> &endpoints, const std::string &prefix, const StorePosition &from, Deadline deadline)
+{
+    BOOST_OUTCOME_TRY(RangeReply found, range(endpoints, prefix, std::nullopt, deadline));
+    if (found.revision < from.revision - 1) {
+        return StoreError{StoreErrorKind::Restored, statusOk};
+    }
+    WatchReply reply;
+    reply.revision = found.revision;
+    for (auto &value : found.values) {
+        if (value.modRevision >= from.revision) {
+            reply.events.push_back({false, std::move(value)});
+        }
+    }
+    return reply;
+}
+
 StoreResult<WatchReply> watch(const std::vector<Endpoint> &endpoints, const std::string &prefix, const StorePosition &from, Deadline deadline,
                               const std::stop_token &stop)
 {
@@ -365,7 +382,7 @@
     for (const auto &endpoint : endpoints) {
         WatchCollector collector{.from = from.revision, .pending = {}, .reply = {}};
         const auto status = httpStream(
-            endpoint, request, deadline, [&collector](std::string_view part) { return collector.take(part); }, stop);
+            endpoint, request, {deadline.at - watchReplyTime}, [&collector](std::string_view part) { return collector.take(part); }, stop);
         if (status && status.value() != statusOk) {
             return errorOf(status.value());
         }
@@ -398,7 +415,7 @@
     store.watch = [endpoints](const std::string &prefix, const StorePosition &from, Deadline deadline, const std::stop_token &stop) {
         return watch(endpoints, prefix, from, deadline, stop);
     };
-    store.poll = [endpoints](const std::string &prefix, const StorePosition &from, Deadline deadline) { return watch(endpoints, prefix, from, deadline, {}); };
+    store.poll = [endpoints](const std::string &prefix, const StorePosition &from, Deadline deadline) { return poll(endpoints, prefix, from, deadline); };
     return store;
 }
 
--- a/tests/process/session_test.cpp
+++ b/tests/process/session_test.cpp
@@ -13,7 +13,7 @@
 namespace json = boost::json;
 
 /// Fields of log lines that differ from run to run.
-constexpr std::array volatileFields{"time", "body_us", "took_us", "behind_us", "incarnation", "from"};
+constexpr std::array volatileFields{"time", "bundle_age_ms", "body_us", "took_us", "behind_us", "incarnation", "from"};
 
 std::string scrubbedLog(const std::string &log)
 {
