Record a departure in the store before it is acknowledged

Cause: what was acknowledged lived only in the memory of the nodes. A restarted node gets it back from its peers; when all end at once, nobody knows it, and a node that has just started takes the first announcement whatever its age. A single node that is killed in the milliseconds after its reply lost it the same way.

Change: a drain or a withdrawal is acted on at once as before, but acknowledged when the store holds it: one key a node under a lease of two minutes, written again after a restore of the store (control/departure_sync). While the store is away there is no acknowledgement (503 within 0.7 s): what only this process can keep isn't promised; the backend server gets no new work all the same. A node that starts takes announcements once it has read that key, or a peer that knew an earlier process of it has said what that one acknowledged (new field of the sync reply), or peers gave it a bundle 2 s ago. At the first start of the whole fleet (first_start, from the platform's bootstrap) it reads nothing.

Why it works: the acknowledgement follows the record, and the first announcement follows the reading of it, so no order of kills lies between them.

--- a/include/agatedoor/membership/fleet_table.hpp
+++ b/include/agatedoor/membership/fleet_table.hpp
@@ -18,6 +18,7 @@
     Deadline statusDeadline{TimePoint::max()}; ///< When a suspect member is declared dead, or a dead or left member is removed from the table.
     Deadline heldUntil{TimePoint::min()}; ///< Until then the backend servers of a dead member may still be used as a last resort.
     Departures departures{}; ///< Departures of backend servers that earlier processes of the member acknowledged.
+    bool restarted = false; ///< An earlier process of the member was known.
 };
 
 /// @brief All members by node.
--- a/include/agatedoor/membership/membership.hpp
+++ b/include/agatedoor/membership/membership.hpp
@@ -66,6 +66,7 @@
     bool viewChanged = false; ///< The table changed in a way that can affect routing.
     std::vector<BackendEnd> ends; ///< Unexpected ends of backend servers that a peer told.
     std::vector<Departure> departures; ///< Acknowledged by an earlier process of this node; this one must apply them too.
+    bool earlierProcessTold = false; ///< A peer knew an earlier process of this node; departures holds what that one acknowledged.
     bool incarnationChanged = false; ///< This node took a greater incarnation to refute a record of itself; see Membership::self.
 };
 
--- a/include/agatedoor/membership/peer_message.hpp
+++ b/include/agatedoor/membership/peer_message.hpp
@@ -62,6 +62,7 @@
     bool more = false; ///< Sync reply: further buckets differ but exceeded the size limit.
     std::vector<MemberUpdate> updates;
     std::vector<Departure> departures; ///< Sync reply: departures that earlier processes of the receiver acknowledged.
+    bool knewEarlierProcess = false; ///< Sync reply: the sender knew such a process, so departures holds all that it knows of them.
     std::vector<BackendEndNews> ends; ///< Unexpected ends of backend servers. Sync reply: all that the sender knows, if the requester knows others.
     std::uint64_t endsDigest = 0; ///< Sync request: hash of the ends that the sender knows.
     bool readsPackedText = false; ///< Bundle request: the reply may carry packedText.
--- a/src/agatedoor/control/node_state.hpp
+++ b/src/agatedoor/control/node_state.hpp
@@ -45,6 +45,7 @@
     BundleController bundles;
     SharedHeadConfirmation headConfirmation; ///< Until when the store has confirmed the bundle in force, by this node's calls or peers' word.
     LocalBackendController localBackends;
+    std::atomic<bool> earlierProcessTold{false}; ///< A peer has told what an earlier process of this node had said of itself.
     Snapshot<FleetView> fleet;
     PathDelays pathDelays;
     SharedBackendEnds backendEnds; ///< Unexpected ends of backend servers anywhere, with the requests that were in progress.
--- a/src/agatedoor/control/peer_sync.cpp
+++ b/src/agatedoor/control/peer_sync.cpp
@@ -354,6 +354,9 @@
     if (!output.departures.empty()) {
         adoptDepartures(m_node.localBackends, output.departures, Clock::now());
     }
+    if (output.earlierProcessTold) {
+        m_node.earlierProcessTold.store(true);
+    }
     if (output.incarnationChanged) {
         m_node.incarnation = m_membership.self.incarnation;
     }
--- a/src/agatedoor/control/store_calls.cpp
+++ b/src/agatedoor/control/store_calls.cpp
@@ -11,10 +11,11 @@
 namespace {
 
 constexpr std::array callNames{
-    std::pair{StoreCall::ReadContacts, std::string_view{"read-contacts"}},   std::pair{StoreCall::GrantLease, std::string_view{"grant-lease"}},
-    std::pair{StoreCall::PutContact, std::string_view{"put-contact"}},       std::pair{StoreCall::KeepLease, std::string_view{"keep-lease"}},
-    std::pair{StoreCall::RemoveContact, std::string_view{"remove-contact"}}, std::pair{StoreCall::ReadHead, std::string_view{"read-head"}},
-    std::pair{StoreCall::WatchHead, std::string_view{"watch-head"}},         std::pair{StoreCall::ReadBundle, std::string_view{"read-bundle"}},
+    std::pair{StoreCall::ReadContacts, std::string_view{"read-contacts"}},     std::pair{StoreCall::GrantLease, std::string_view{"grant-lease"}},
+    std::pair{StoreCall::PutContact, std::string_view{"put-contact"}},         std::pair{StoreCall::KeepLease, std::string_view{"keep-lease"}},
+    std::pair{StoreCall::RemoveContact, std::string_view{"remove-contact"}},   std::pair{StoreCall::ReadHead, std::string_view{"read-head"}},
+    std::pair{StoreCall::WatchHead, std::string_view{"watch-head"}},           std::pair{StoreCall::ReadBundle, std::string_view{"read-bundle"}},
+    std::pair{StoreCall::ReadDepartures, std::string_view{"read-departures"}}, std::pair{StoreCall::PutDepartures, std::string_view{"put-departures"}},
 };
 static_assert(callNames.size() == storeCallCount);
 
--- a/src/agatedoor/control/store_calls.hpp
+++ b/src/agatedoor/control/store_calls.hpp
@@ -22,10 +22,12 @@
     ReadHead,
     WatchHead,
     ReadBundle,
+    ReadDepartures,
+    PutDepartures,
 };
 
 /// @brief Number of StoreCall values.
-inline constexpr std::size_t storeCallCount = 8;
+inline constexpr std::size_t storeCallCount = 10;
 
 /// @brief Name of @p call in logs and metrics.
 std::string_view wireName(StoreCall call);
--- a/src/agatedoor/control/store_sync.cpp
+++ b/src/agatedoor/control/store_sync.cpp
@@ -7,6 +7,7 @@
     , m_calls(node, peers, m_store.newestEra)
     , m_head(node, peers, m_store, m_calls, std::move(releases), [this] { return m_contact.load(); })
     , m_contacts(node, peers, m_store, m_calls, m_contact)
+    , m_departures(node, m_store, m_calls)
 {
 }
 
--- a/src/agatedoor/control/store_sync.hpp
+++ b/src/agatedoor/control/store_sync.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "contact_sync.hpp"
+#include "departure_sync.hpp"
 #include "head_sync.hpp"
 
-/// @brief Access of a node to the store: contact addresses through which nodes join the fleet, and the head record of the bundle in force.
+/// @brief Access of a node to the store: contact addresses through which nodes join the fleet, the head record of the bundle in force, and the
+/// departures that were acknowledged.
 namespace agatedoor {
 
 /// @brief Statistics for the dump and the metrics.
@@ -16,7 +18,7 @@
     bool reachable = false; ///< The last call succeeded or was rejected by the store.
 };
 
-/// @brief Runs the contact key and the head watch over one store.
+/// @brief Runs the contact key, the head watch and the record of departures over one store.
 class StoreSync
 {
 public:
@@ -28,12 +30,15 @@
 
     StoreSyncStats stats() const;
 
+    DepartureSync &departures() { return m_departures; }
+
 private:
     Store m_store;
     StoreCalls m_calls;
     std::atomic<bool> m_contact{false}; ///< This node keeps its contact key in the store.
     HeadSync m_head;
     ContactSync m_contacts;
+    DepartureSync m_departures;
 };
 
 } // namespace agatedoor
--- a/src/agatedoor/membership/membership_merge.cpp
+++ b/src/agatedoor/membership/membership_merge.cpp
@@ -130,6 +130,7 @@
         if (present(found->second.status) && taken.record.incarnation != found->second.record.incarnation) {
             keepDepartures(found->second, now);
         }
+        found->second.restarted = found->second.restarted || taken.record.incarnation != found->second.record.incarnation;
         keepBackends(taken, found->second);
         found->second.record = std::move(taken.record);
     }
--- a/src/agatedoor/membership/membership_sync.cpp
+++ b/src/agatedoor/membership/membership_sync.cpp
@@ -64,6 +64,12 @@
     return found == membership.table.members.end() ? std::vector<Departure>{} : activeDepartures(found->second.departures, now);
 }
 
+bool knewEarlierProcess(const Membership &membership, const NodeId &node)
+{
+    const auto found = membership.table.members.find(node);
+    return found != membership.table.members.end() && found->second.restarted;
+}
+
 } // namespace
 
 Deadline jittered(TimePoint now, Duration interval, Random &random)
@@ -122,6 +128,7 @@
     const TableDigest digest = digestOf(membership.table);
     PeerMessage reply = makeMessage(membership, PeerMessageKind::SyncReply);
     reply.departures = departuresOf(membership, request.from, now);
+    reply.knewEarlierProcess = knewEarlierProcess(membership, request.from);
     addDifferingEnds(membership, request, reply, now);
     const std::size_t start = uniformIndex(random, digestBuckets);
     std::size_t size = 0;
@@ -148,6 +155,7 @@
 {
     sendMissingUpdates(membership, reply, output);
     output.departures.insert(output.departures.end(), reply.departures.begin(), reply.departures.end());
+    output.earlierProcessTold = reply.knewEarlierProcess;
     if (reply.more && changed) {
         requestSync(membership, reply.replyTo, reply.region, output);
         return;
--- a/src/agatedoor/membership/peer_message.cpp
+++ b/src/agatedoor/membership/peer_message.cpp
@@ -136,6 +136,7 @@
         encodeUpdate(update, *encoded.add_updates());
     }
     encodeDepartures(message.departures, *encoded.mutable_departures());
+    encoded.set_knew_earlier_process(message.knewEarlierProcess);
     for (const auto &end : message.ends) {
         encodeEnd(end, *encoded.add_ends());
     }
@@ -188,6 +189,7 @@
         message.updates.push_back(std::move(*update));
     }
     message.departures = decodeDepartures(encoded.departures());
+    message.knewEarlierProcess = encoded.knew_earlier_process();
     for (const auto &end : encoded.ends()) {
         message.ends.push_back(decodeEnd(end));
     }
--- a/src/agatedoor/node/backend_api.cpp
+++ b/src/agatedoor/node/backend_api.cpp
@@ -132,15 +132,22 @@
     }
 }
 
-HttpReply announce(NodeState &node, const BackendId &backend, const std::string &body)
+/// The reply to an announcement.
+struct AnnounceReply
+{
+    HttpReply reply;
+    bool departs = false; ///< The backend server has begun to drain by its own word, which the reply acknowledges.
+};
+
+AnnounceReply announce(NodeState &node, const BackendId &backend, const std::string &body)
 {
     const auto announcement = parseAnnouncement(node, backend, body);
     if (!announcement) {
-        return refuseAnnouncement(backend, "malformed-announcement");
+        return {refuseAnnouncement(backend, "malformed-announcement")};
     }
     const auto &allowed = node.settings.backendAddress;
     if (allowed && announcement->endpoint != *allowed) {
-        return refuseAnnouncement(backend, "foreign-address");
+        return {refuseAnnouncement(backend, "foreign-address")};
     }
     const auto known = node.localBackends.current();
     const auto before = known->backends.find(backend);
@@ -160,21 +167,51 @@
                  {"sequence", announcement->version.sequence},
                  {"outcome", result ? std::string("accepted") : std::string(wireName(result.error()))}});
     }
-    return resultReply(result);
+    return {resultReply(result), result && announcement->record.status == BackendStatus::Draining};
+}
+
+/// Replies once the departure of @p backend is recorded. Until then it isn't promised: the backend server asks again.
+void acknowledgeDeparture(DepartureSync &departures, const BackendId &backend, HttpReply reply, const std::shared_ptr<HttpResponder> &responder)
+{
+    departures.whenRecorded(backend, [backend, responder, reply = std::move(reply)](bool recorded) {
+        if (!recorded) {
+            logLine(LogLevel::Warn, "departure-not-recorded", {{"backend", backend.value}});
+        }
+        responder->reply(recorded ? reply : errorReply(503, "not-recorded"));
+    });
 }
 
-HttpReply drain(NodeState &node, const BackendId &backend)
+/// Takes an announcement once it is known what earlier processes of this node acknowledged: it may have been sent before that.
+void takeAnnouncement(NodeState &node, DepartureSync &departures, const BackendId &backend, const std::string &body,
+                      const std::shared_ptr<HttpResponder> &responder)
+{
+    departures.whenKnown([&node, &departures, backend, body, responder](bool known) {
+        if (!known) {
+            logLine(LogLevel::Warn, "announcement-refused", {{"backend", backend.value}, {"reason", std::string("departures-unknown")}});
+            responder->reply(errorReply(503, "departures-unknown"));
+            return;
+        }
+        AnnounceReply announced = announce(node, backend, body);
+        if (announced.departs) {
+            acknowledgeDeparture(departures, backend, std::move(announced.reply), responder);
+        } else {
+            responder->reply(std::move(announced.reply));
+        }
+    });
+}
+
+void drain(NodeState &node, DepartureSync &departures, const BackendId &backend, const std::shared_ptr<HttpResponder> &responder)
 {
     const LeaveEffect effect = node.localBackends.drain(backend, readClocks());
     logLine(LogLevel::Info, "drain", {{"backend", backend.value}, {"outcome", std::string(wireName(effect))}});
-    return jsonReply(200, "{}");
+    acknowledgeDeparture(departures, backend, jsonReply(200, "{}"), responder);
 }
 
-HttpReply withdraw(NodeState &node, const BackendId &backend)
+void withdraw(NodeState &node, DepartureSync &departures, const BackendId &backend, const std::shared_ptr<HttpResponder> &responder)
 {
     const LeaveEffect effect = node.localBackends.withdraw(backend, readClocks());
     logLine(LogLevel::Info, "withdraw", {{"backend", backend.value}, {"outcome", std::string(wireName(effect))}});
-    return jsonReply(200, "{}");
+    acknowledgeDeparture(departures, backend, jsonReply(200, "{}"), responder);
 }
 
 HttpReply backendStatus(const NodeState &node, const BackendId &backend)
@@ -189,11 +226,12 @@
     return jsonReply(200, json::serialize(body));
 }
 
-HttpReply handleRequest(NodeState &node, const HttpRequest &request)
+void handleRequest(NodeState &node, DepartureSync &departures, const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
 {
     std::string_view path = request.target;
     if (!path.starts_with(pathPrefix)) {
-        return errorReply(404, "unknown-path");
+        responder->reply(errorReply(404, "unknown-path"));
+        return;
     }
     path.remove_prefix(pathPrefix.size());
     const bool draining = path.ends_with(drainSuffix);
@@ -202,25 +240,27 @@
     }
     const BackendId backend{std::string(path)};
     if (backend.value.empty()) {
-        return errorReply(404, "unknown-path");
-    }
-    if (draining) {
-        return request.method == "POST" ? drain(node, backend) : errorReply(405, "method-not-allowed");
-    }
-    if (request.method == "PUT") {
-        return announce(node, backend, request.body);
-    }
-    if (request.method == "DELETE") {
-        return withdraw(node, backend);
+        responder->reply(errorReply(404, "unknown-path"));
+    } else if (draining && request.method == "POST") {
+        drain(node, departures, backend, responder);
+    } else if (draining) {
+        responder->reply(errorReply(405, "method-not-allowed"));
+    } else if (request.method == "PUT") {
+        takeAnnouncement(node, departures, backend, request.body, responder);
+    } else if (request.method == "DELETE") {
+        withdraw(node, departures, backend, responder);
+    } else {
+        responder->reply(request.method == "GET" ? backendStatus(node, backend) : errorReply(405, "method-not-allowed"));
     }
-    return request.method == "GET" ? backendStatus(node, backend) : errorReply(405, "method-not-allowed");
 }
 
 } // namespace
 
-HttpHandler makeBackendApi(NodeState &node)
+HttpHandler makeBackendApi(NodeState &node, DepartureSync &departures)
 {
-    return [&node](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) { responder->reply(handleRequest(node, request)); };
+    return [&node, &departures](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+        handleRequest(node, departures, request, responder);
+    };
 }
 
 } // namespace agatedoor
--- a/src/agatedoor/node/node.cpp
+++ b/src/agatedoor/node/node.cpp
@@ -205,6 +205,22 @@
     std::vector<std::thread> m_threads;
 };
 
+/// Ends the record of departures before the interface goes whose replies wait for it.
+class DepartureCloser
+{
+public:
+    explicit DepartureCloser(DepartureSync &departures)
+        : m_departures(departures)
+    {
+    }
+    ~DepartureCloser() { m_departures.close(); }
+    DepartureCloser(const DepartureCloser &) = delete;
+    DepartureCloser &operator=(const DepartureCloser &) = delete;
+
+private:
+    DepartureSync &m_departures;
+};
+
 } // namespace
 
 NodeInterfaces defaultNodeInterfaces(const Settings &settings)
@@ -229,11 +245,12 @@
     }
     Listener callers = makeListener(std::move(*callersAcceptor), workers, serveCaller);
     Listener peers = makeListener(std::move(*peersAcceptor), workers, servePeer);
-    BOOST_OUTCOME_TRY(const auto backendApi, HttpService::start(settings.backends, makeBackendApi(node)));
     BOOST_OUTCOME_TRY(const auto peerSync, PeerSync::start(node));
     const ExitStepMarker closePeersMarker{"close-peers"};
     StoreSync storeSync(node, *peerSync, std::move(edges.store), std::move(edges.releases));
     const ExitStepMarker endStoreThreadsMarker{"end-store-threads"};
+    BOOST_OUTCOME_TRY(const auto backendApi, HttpService::start(settings.backends, makeBackendApi(node, storeSync.departures())));
+    const DepartureCloser departureCloser(storeSync.departures());
     BOOST_OUTCOME_TRY(const auto adminApi, HttpService::start(settings.admin, makeAdminApi(node, workers, fleetStatsReader(*peerSync, storeSync))));
     node.localBackends.onChange([&peerSync] { peerSync->notifyRecordChanged(); });
     peerSync->notifyRecordChanged();
--- a/src/agatedoor/state/settings.cpp
+++ b/src/agatedoor/state/settings.cpp
@@ -122,6 +122,7 @@
     settings.retryShare = reader.numberOr("retry_share", settings.retryShare, 0, 1);
     settings.retryBurst = reader.numberOr("retry_burst", settings.retryBurst, 0, maxRetryBurst);
     settings.watchersPerRegion = static_cast<std::size_t>(reader.integerOr("watchers_per_region", defaultWatchersPerRegion, 1, maxWatchersPerRegion));
+    settings.firstStart = reader.has("first_start") && reader.boolean("first_start");
     settings.threads = static_cast<int>(reader.integerOr("threads", 2, 1, maxThreads));
     settings.logLevel = readLogLevel(reader);
     reader.rejectUnknownKeys();
