Pause between calls to a store that turns a watcher away

Once a waiting watch had been ended because the confirmation was too old, its stop request stood on. The next call, which doesn't wait, failed, was taken for one that had been ended, and wasn't followed by a pause.

Change: a call is ended only by the stop request that it was given. The record of departures pauses 0.15 to 0.3 s between its tries while an answer waits (0.05 to 0.15 s before), and backs off as other callers of the store do when none does.

--- a/src/agatedoor/control/departure_sync.cpp
+++ b/src/agatedoor/control/departure_sync.cpp
@@ -15,8 +15,8 @@
 constexpr std::chrono::milliseconds listenerTime{700}; ///< A backend server waits a second for its answer.
 constexpr std::chrono::milliseconds callTimeout{250};
 constexpr std::chrono::milliseconds roundInterval{500}; ///< Without work.
-constexpr std::chrono::milliseconds retryPause{50};
-constexpr std::chrono::milliseconds retryPauseSpread{100};
+constexpr std::chrono::milliseconds retryPause{150}; ///< While an answer waits.
+constexpr std::chrono::milliseconds retryPauseSpread{150};
 constexpr std::chrono::seconds leaseTtl{120};
 constexpr std::chrono::seconds leastLeaseTime{60}; ///< A record is written under a lease that lasts at least this long.
 /// A node whose peers gave it a bundle doesn't wait longer for the store's record: those that live know what earlier processes acknowledged.
@@ -130,7 +130,7 @@
         const std::lock_guard lock(m_mutex);
         return !m_waitForKnown.empty() || !m_waitForRecord.empty();
     }();
-    return awaited ? retryPause + uniformTime(m_random, retryPauseSpread) : std::min<Duration>(nextBackOff(m_failures, m_random), roundInterval);
+    return awaited ? retryPause + uniformTime(m_random, retryPauseSpread) : nextBackOff(m_failures, m_random);
 }
 
 /// After a restore the store may hold an earlier record or none, and leases are void.
--- a/src/agatedoor/control/head_sync.cpp
+++ b/src/agatedoor/control/head_sync.cpp
@@ -268,13 +268,14 @@
     return renewsConfirmation(view) ? headWatchOptions.renewAfter - confirmationAge() : watchTime;
 }
 
-StoreResult<WatchReply> HeadSync::askForChanges(Duration wait)
+/// @param stop ends a call that waits
+StoreResult<WatchReply> HeadSync::askForChanges(Duration wait, const std::stop_token &stop)
 {
     const StorePosition from{m_position.revision + 1, m_position.era};
     if (wait < minWatchTime) {
         return m_store.poll(m_releases.key, from, callDeadline());
     }
-    return m_store.watch(m_releases.key, from, deadlineAfter(Clock::now(), wait + watchReplyTime), beginWatch());
+    return m_store.watch(m_releases.key, from, deadlineAfter(Clock::now(), wait + watchReplyTime), stop);
 }
 
 /// Notes that the store has confirmed the bundle in force, and tells the peers that wait for it.
@@ -300,8 +301,9 @@
 bool HeadSync::watch(Duration wait)
 {
     const BootTime askedAt = BootClock::now();
-    const auto reply = askForChanges(wait);
-    if (!reply && m_watchStop.stop_requested()) {
+    const std::stop_token stop = wait < minWatchTime ? std::stop_token{} : beginWatch();
+    const auto reply = askForChanges(wait, stop);
+    if (!reply && stop.stop_requested()) {
         m_calls.count(StoreCall::WatchHead);
         return true;
     }
--- a/src/agatedoor/control/head_sync.hpp
+++ b/src/agatedoor/control/head_sync.hpp
@@ -47,7 +47,7 @@
     bool readAndApply();
     Duration waitTime(const HeadWatchView &view, HeadAction action);
     bool watch(Duration wait);
-    StoreResult<WatchReply> askForChanges(Duration wait);
+    StoreResult<WatchReply> askForChanges(Duration wait, const std::stop_token &stop);
     void endOutdatedWatch();
     void confirmHead(BootTime at);
     bool recordFailedWatch(StoreErrorKind error);
