Bound what a node takes in place of a backend server's health

Reported: a faulty backend server sends bytes without end; what called it keeps them all and runs out of memory.

Looked for here: requests of all kinds are bounded (EndlessBytes.*), but the reading of a VM's pace from the health path wasn't: it took 8 MiB (the parser's default) for each, up to 45 readings a second a backend server, beside the node's bound for large responses. An informational response was taken for a reading without a pace, and its connection went back to the pool.

Change: 16 KiB for the body, which says nothing that is read; an informational response ends the reading and its connection.

--- a/src/agatedoor/proxy/backend/pace_reading.cpp
+++ b/src/agatedoor/proxy/backend/pace_reading.cpp
@@ -1,6 +1,7 @@
 #include "pace_reading.hpp"
 
 #include "agatedoor/proxy/headers.hpp"
+#include "agatedoor/proxy/response_reader.hpp"
 #include "agatedoor/state/gate_request_limit.hpp"
 #include "backend_connection.hpp"
 
@@ -12,6 +13,7 @@
 
 constexpr PaceOptions paceOptions{};
 constexpr std::chrono::milliseconds readingTimeout{50}; ///< Short, because the health path responds at once.
+constexpr std::uint64_t maxReadingBytes = 16UL * 1024; ///< Of a response's body, which says nothing that is read.
 
 /// Health path of the service; empty when it has none.
 std::string healthPathOf(const Worker &worker, const ServiceName &service)
@@ -37,11 +39,12 @@
     error_code error;
     backend.connection->stream.expires_at(deadline.at);
     co_await http::async_write(backend.connection->stream, request, into(error));
-    http::response_parser<http::string_body> parser;
+    ResponseParser parser;
+    parser.body_limit(maxReadingBytes);
     if (!error) {
         co_await http::async_read(backend.connection->stream, backend.connection->buffer, parser, into(error));
     }
-    if (error) {
+    if (error || isInformational(parser.get())) {
         co_return false;
     }
     const TimePoint now = Clock::now();
--- a/tests/support/raw_backend.cpp
+++ b/tests/support/raw_backend.cpp
@@ -39,6 +39,12 @@
 } // namespace
 
 RawBackend::RawBackend(const Endpoint &listen, Script script, ConnectionEnd end)
+    : RawBackend(
+        listen, [script = std::move(script)](std::size_t part, const std::string &) { return script(part); }, end)
+{
+}
+
+RawBackend::RawBackend(const Endpoint &listen, RequestScript script, ConnectionEnd end)
     : m_script(std::move(script))
     , m_end(end)
     , m_listener(listenAt(listen))
@@ -77,12 +83,14 @@
 {
     std::array<char, 4096> request{};
     while (!m_ended && !readable(connection)) {}
-    if (m_ended || ::recv(connection, request.data(), request.size(), 0) <= 0) {
+    const ssize_t received = m_ended ? 0 : ::recv(connection, request.data(), request.size(), 0);
+    if (received <= 0) {
         return;
     }
+    const std::string begin(request.data(), static_cast<std::size_t>(received));
     std::size_t part = 0;
     std::int64_t total = 0;
-    for (std::string bytes = m_script(part); !m_ended && !bytes.empty(); bytes = m_script(++part)) {
+    for (std::string bytes = m_script(part, begin); !m_ended && !bytes.empty(); bytes = m_script(++part, begin)) {
         std::size_t sent = 0;
         while (!m_ended && sent < bytes.size()) {
             const ssize_t size = ::send(connection, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
@@ -98,13 +106,32 @@
     }
 }
 
-std::int64_t socketBufferBytes()
+namespace {
+
+struct ReceiveBuffer
 {
-    std::int64_t least = 0;
     std::int64_t initial = 0;
     std::int64_t most = 0;
-    std::ifstream("/proc/sys/net/ipv4/tcp_rmem") >> least >> initial >> most;
-    return most + RawBackend::sendBufferBytes * 2L;
+};
+
+ReceiveBuffer receiveBufferOfSystem()
+{
+    std::int64_t least = 0;
+    ReceiveBuffer buffer;
+    std::ifstream("/proc/sys/net/ipv4/tcp_rmem") >> least >> buffer.initial >> buffer.most;
+    return buffer;
+}
+
+} // namespace
+
+std::int64_t socketBufferBytes()
+{
+    return receiveBufferOfSystem().most + RawBackend::sendBufferBytes * 2L;
+}
+
+std::int64_t initialSocketBufferBytes()
+{
+    return receiveBufferOfSystem().initial * 2 + RawBackend::sendBufferBytes * 2L;
 }
 
 } // namespace agatedoor::test
--- a/tests/support/raw_backend.hpp
+++ b/tests/support/raw_backend.hpp
@@ -28,7 +28,11 @@
     /// @brief Returns the bytes to send next, by the number of the part; empty ends the connection.
     using Script = std::function<std::string(std::size_t part)>;
 
+    /// @brief The same, for a script that also sees the beginning of the request.
+    using RequestScript = std::function<std::string(std::size_t part, const std::string &request)>;
+
     RawBackend(const Endpoint &listen, Script script, ConnectionEnd end = ConnectionEnd::Close);
+    RawBackend(const Endpoint &listen, RequestScript script, ConnectionEnd end = ConnectionEnd::Close);
     ~RawBackend();
     RawBackend(const RawBackend &) = delete;
     RawBackend &operator=(const RawBackend &) = delete;
@@ -42,7 +46,7 @@
     void run();
     void serve(int connection);
 
-    Script m_script;
+    RequestScript m_script;
     ConnectionEnd m_end;
     int m_listener;
     std::atomic<int> m_closedByOther{0};
@@ -54,4 +58,7 @@
 /// @brief Most bytes that the socket buffers of a RawBackend's connection hold; what is in them was sent but not taken.
 std::int64_t socketBufferBytes();
 
+/// @brief The same while the other end has read little, so that the system hasn't raised its buffer.
+std::int64_t initialSocketBufferBytes();
+
 } // namespace agatedoor::test
