Take the final response behind informational ones in calls to the store

Found while looking at bytes without end from the store: a 1xx response was taken for the final one. Its status read as a refusal ("nothing was applied"), though the store goes on and may apply the write; without end it was as wrong, if bounded.

Change: up to 32 informational responses are passed over; more of them lose the answer, so a write's outcome is unknown.

Tests: EndlessAnswers.TheFinalAnswerBehindInformationalOnesIsTaken and the new kind in EndlessAnswers.EndACallInTimeAndWithinItsBound; both failed before.

--- a/src/agatedoor/wire/endless_answer_test.cpp
+++ b/src/agatedoor/wire/endless_answer_test.cpp
@@ -41,6 +41,7 @@
     return {
         {.name = "one endless line", .start = "HTTP/1.1 200 ", .again = x},
         {.name = "endless header fields", .start = ok, .again = field},
+        {.name = "endless informational responses", .start = "HTTP/1.1 102 Processing\r\n\r\n", .again = "HTTP/1.1 102 Processing\r\n\r\n"},
         {.name = "an endless chunk extension", .start = chunked + "1;", .again = x},
         {.name = "endless trailers", .start = chunked + "1\r\na\r\n0\r\n", .again = field},
         {.name = "chunks for ever, no line end", .start = chunked, .again = "4000\r\n" + x + "\r\n"},
@@ -85,6 +86,18 @@
     }
 }
 
+/// Guards against an informational response that is taken for the store's refusal of a write, which then may have been applied.
+TEST(EndlessAnswers, TheFinalAnswerBehindInformationalOnesIsTaken)
+{
+    const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+    const test::RawBackend other(ownAddress(), [&](std::size_t part) { return part < 2 ? interim : part == 2 ? answer : std::string(); });
+    const auto reply = httpCall(ownAddress(), {"GET", "/", {}, {}}, deadlineAfter(Clock::now(), patience));
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply.value().status, 200);
+    EXPECT_EQ(reply.value().body, "whole");
+}
+
 TEST(EndlessAnswers, EndAWatchOfTheStoreInTimeAndWithinItsBound)
 {
     const Store store = makeEtcdStore({ownAddress()});
--- a/src/agatedoor/wire/http_call.cpp
+++ b/src/agatedoor/wire/http_call.cpp
@@ -23,6 +23,7 @@
 using boost::system::error_code;
 
 constexpr std::uint64_t maxAnswerBytes = 16ULL * 1024 * 1024;
+constexpr int maxInformational = 32; ///< Informational responses (1xx) before the final one.
 constexpr std::size_t streamPartBytes = 64UL * 1024;
 constexpr std::size_t maxUnparsedBytes = 64UL * 1024; ///< Held without a line end or an end of the header.
 
@@ -77,17 +78,10 @@
     co_return !error;
 }
 
-asio::awaitable<Result<HttpReply, HttpError>> callOnce(const Endpoint &endpoint, const HttpRequest &request, Deadline deadline)
+/// Reads one response whole; none when it doesn't come before @p deadline or is too large.
+asio::awaitable<std::optional<http::response<http::string_body>>> readResponse(beast::tcp_stream &stream, beast::flat_buffer &buffer, Deadline deadline)
 {
-    beast::tcp_stream stream(co_await asio::this_coro::executor);
-    if (!co_await connectTo(stream, endpoint, deadline)) {
-        co_return HttpError{HttpErrorKind::ConnectFailed};
-    }
-    if (!co_await sendRequest(stream, endpoint, request)) {
-        co_return HttpError{HttpErrorKind::AnswerLost};
-    }
     error_code error;
-    beast::flat_buffer buffer(maxUnparsedBytes);
     http::response_parser<http::string_body> parser;
     parser.body_limit(maxAnswerBytes);
     // The stream's own timer doesn't end a read that finds bytes at once.
@@ -95,9 +89,31 @@
         co_await http::async_read_some(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     }
     if (error || !parser.is_done()) {
+        co_return std::nullopt;
+    }
+    co_return parser.release();
+}
+
+asio::awaitable<Result<HttpReply, HttpError>> callOnce(const Endpoint &endpoint, const HttpRequest &request, Deadline deadline)
+{
+    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    if (!co_await connectTo(stream, endpoint, deadline)) {
+        co_return HttpError{HttpErrorKind::ConnectFailed};
+    }
+    if (!co_await sendRequest(stream, endpoint, request)) {
         co_return HttpError{HttpErrorKind::AnswerLost};
     }
-    co_return fromBeast(parser.release());
+    beast::flat_buffer buffer(maxUnparsedBytes);
+    for (int informational = 0; informational <= maxInformational; ++informational) {
+        auto response = co_await readResponse(stream, buffer, deadline);
+        if (!response) {
+            break;
+        }
+        if (http::to_status_class(response->result()) != http::status_class::informational) {
+            co_return fromBeast(std::move(*response));
+        }
+    }
+    co_return HttpError{HttpErrorKind::AnswerLost};
 }
 
 asio::awaitable<Result<int, HttpError>> streamOnce(const Endpoint &endpoint, const HttpRequest &request, Deadline deadline, const StreamReader &reader)
