--- a/src/agatedoor/control/departure_sync.cpp
+++ b/src/agatedoor/control/departure_sync.cpp
@@ -15,8 +15,8 @@
 constexpr std::chrono::milliseconds listenerTime{700}; ///< A backend server waits a second for its answer.
 constexpr std::chrono::milliseconds callTimeout{250};
 constexpr std::chrono::milliseconds roundInterval{500}; ///< Without work.
-constexpr std::chrono::milliseconds retryPause{150}; ///< While an answer waits.
-constexpr std::chrono::milliseconds retryPauseSpread{150};
+constexpr std::chrono::milliseconds retryPause{300}; ///< While an answer waits.
+constexpr std::chrono::milliseconds retryPauseSpread{200};
 constexpr std::chrono::seconds leaseTtl{120};
 constexpr std::chrono::seconds leastLeaseTime{60}; ///< A record is written under a lease that lasts at least this long.
 /// A node whose peers gave it a bundle doesn't wait longer for the store's record: those that live know what earlier processes acknowledged.
@@ -81,21 +81,17 @@
 void DepartureSync::whenRecorded(const BackendId &backend, Listener listener)
 {
     const bool recorded = isRecorded(backend);
-    bool waits = false;
     {
         const std::lock_guard lock(m_mutex);
         m_wanted.insert(backend);
-        waits = !recorded && !m_stop;
-        m_work = m_work || waits;
-        if (waits) {
+        if (!recorded && !m_stop) {
             m_waitForRecord.push_back({backend, deadlineAfter(Clock::now(), listenerTime), std::move(listener)});
+            m_work = true;
+            m_workAvailable.notify_all();
+            return;
         }
     }
-    if (waits) {
-        m_workAvailable.notify_all();
-    } else {
-        listener(recorded);
-    }
+    listener(recorded);
 }
 
 /// @return false at a stop
