Read the head in full when the store refuses to go on from a position that peers know too

The store refused the watch from a dropped revision (410), the node forgot the position, and took the same one again from its peers' last confirmation; so did they. The logs show 'rejected' from every node every 0.1 s and no read of the head.

Change: a position at or before one that the store has refused isn't taken over; without a later one the head is read in full.

Test: SilentPeers.AChangeIsInForceInTimeThoughTheStoreHasDroppedItsHistory failed before (not in force after 2 s).

--- a/src/agatedoor/control/head_sync.cpp
+++ b/src/agatedoor/control/head_sync.cpp
@@ -184,7 +184,8 @@
         m_position = {};
     }
     const auto known = m_node.headConfirmation.current();
-    if (known && known->position.era == era && known->position.revision > m_position.revision) {
+    const Revision least = m_droppedBefore.era == era ? std::max(m_position.revision, m_droppedBefore.revision) : m_position.revision;
+    if (known && known->position.era == era && known->position.revision > least) {
         m_position = known->position;
         m_positionUnconfirmed = true;
         m_nextFullRead = Clock::now() + fullReadInterval;
@@ -292,6 +293,7 @@
 {
     m_positionUnconfirmed = true;
     if (isAnswered(error) || error == StoreErrorKind::Malformed) {
+        m_droppedBefore = m_position;
         m_position = {};
         m_failures = 0; // The store is back, so the full read need not wait long.
     }
--- a/src/agatedoor/control/head_sync.hpp
+++ b/src/agatedoor/control/head_sync.hpp
@@ -65,6 +65,7 @@
     HeadWatchState m_state;
     TimePoint m_nextFullRead;
     StorePosition m_position; ///< Up to which changes of the head are known; revision 0 when the head has to be read in full.
+    StorePosition m_droppedBefore; ///< The store has refused to go on from here, so neither does it from an earlier position.
     bool m_positionUnconfirmed = false; ///< The last watch failed, so the store may have been restored since.
     Generation m_readGeneration; ///< Newest generation read from the store, or in force before the last full read.
     bool m_changed = false; ///< The last watch returned a change.
