--- a/review/fleet_2.hpp
+++ b/review/fleet_2.hpp
@@ -662,10 +662,10 @@
     void stop()
     {
         m_stop = true;
+        m_server.stop();
         if (m_beats.joinable()) {
             m_beats.join();
         }
-        m_server.stop();
     }
     void setHook(Hook hook)
     {
