--- a/review/fleet_2.hpp
+++ b/review/fleet_2.hpp
@@ -8,6 +8,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -524,6 +525,8 @@
     return text;
 }
 
+constexpr rlim_t maxFds = 4100; ///< Of a node; the least of the pages.
+
 /// @brief Time of day, in milliseconds.
 inline std::int64_t unixMs()
 {
@@ -577,6 +580,8 @@
             return;
         }
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        const rlimit descriptors{maxFds, maxFds};
+        ::setrlimit(RLIMIT_NOFILE, &descriptors);
         const int log = ::open((m_file + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(log, 1);
         ::dup2(log, 2);
