Tell an empty list of customers from none, so that the last one's removal opens nothing

What callers saw: once the operator had removed the last customer, every request of a route that isn't open was served: with the key that was taken away, with keys that no bundle ever held, and without a key. The backend server got the key itself and the customer's name that the caller chose.

Cause: Bundle::customers was a vector, in which "no key is needed" and "no key is valid" look the same, and each decision (key check, trusted fields, order of the queue) asked whether it is empty. The product's own format couldn't write an empty list at all.

An empty list finds no customer for any key, so the key check refuses as for an unknown key. Only a bundle's text travels, so nothing changes between nodes.

--- a/include/agatedoor/decide/admission.hpp
+++ b/include/agatedoor/decide/admission.hpp
@@ -30,7 +30,7 @@
     RouteKey route = {}; ///< Requests of one route are expected to take a similar time.
     bool mayWait = true; ///< The request may wait for a slot; else it runs at once or is refused.
     Duration serviceTime{0}; ///< Expected service time of this request; 0 when unknown, then the average over all requests is used.
-    bool byCustomer = false; ///< The configuration has customers, so the queue is ordered by customer and deadline.
+    bool byCustomer = false; ///< Callers need keys, so the queue is ordered by customer and deadline.
     CustomerName customer = {}; ///< Empty when the request names none.
     bool nested = false; ///< A call of a request that already runs.
 };
--- a/include/agatedoor/state/bundle.hpp
+++ b/include/agatedoor/state/bundle.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -97,7 +98,7 @@
     std::vector<Route> routes;
     Budgets budgets;
     CallerLimits limits;
-    std::vector<Customer> customers; ///< When there is one, requests need an API key, but for those of open routes.
+    std::optional<std::vector<Customer>> customers; ///< See @ref needsKeys; an empty list holds no valid key.
     std::unordered_map<KeyDigest, std::size_t> customerByKey = {}; ///< Index into customers; set by BundleBuilder.
 };
 
@@ -111,6 +112,9 @@
     BundleBuilder &file(std::string name);
     BundleBuilder &service(Service service);
     BundleBuilder &route(Route route);
+    /// @brief States that the bundle lists its customers, also when none is added.
+    BundleBuilder &listCustomers();
+    /// @brief Adds a customer, and with it the list.
     BundleBuilder &customer(Customer customer);
     BundleBuilder &budgets(Budgets budgets);
     BundleBuilder &limits(CallerLimits limits);
@@ -150,6 +154,12 @@
 /// @brief Digest under which an API key is kept and compared.
 KeyDigest keyDigestOf(std::string_view key);
 
+/// @brief Whether callers need an API key, but for open routes: the bundle lists its customers, be it none.
+bool needsKeys(const Bundle &bundle);
+
+/// @brief Customers of @p bundle; none when it doesn't list them.
+std::span<const Customer> customersOf(const Bundle &bundle);
+
 /// @brief Finds the customer that holds the API key with this digest; null when there is none.
 const Customer *findCustomer(const Bundle &bundle, const KeyDigest &key);
 
--- a/src/agatedoor/control/bundle_log.cpp
+++ b/src/agatedoor/control/bundle_log.cpp
@@ -17,6 +17,17 @@
     return std::string(wireName(std::get<ConfigError>(error).kind));
 }
 
+std::int64_t number(std::size_t count)
+{
+    return static_cast<std::int64_t>(count);
+}
+
+/// Left out of the line when the bundle doesn't list its customers.
+LogField customersField(const Bundle &bundle)
+{
+    return needsKeys(bundle) ? LogField{"customers", number(customersOf(bundle).size())} : LogField{};
+}
+
 std::int64_t number(Generation generation)
 {
     return static_cast<std::int64_t>(generation.value);
@@ -24,7 +35,7 @@
 
 } // namespace
 
-void logBundleResult(const HeadRecord &head, const BundleOrigin &origin, const Result<Generation, ApplyError> &applied)
+void logBundleResult(const HeadRecord &head, const BundleOrigin &origin, const Result<Generation, ApplyError> &applied, const BundleInForce &inForce)
 {
     if (applied) {
         logLine(LogLevel::Info, "bundle-in-force",
@@ -32,7 +43,10 @@
                  {"digest", head.digest.value},
                  {"source", std::string(origin.peer.value.empty() ? "store" : "peer")},
                  {"peer", origin.peer.value},
-                 {"bytes", static_cast<std::int64_t>(origin.bytes)},
+                 {"bytes", number(origin.bytes)},
+                 {"services", number(inForce.bundle.services.size())},
+                 {"routes", number(inForce.bundle.routes.size())},
+                 customersField(inForce.bundle),
                  {"behind_us", static_cast<std::int64_t>(inMicroseconds(origin.behind).count())}});
         return;
     }
@@ -49,10 +63,7 @@
 void logBundleReply(Generation inForce, const NodeId &peer, std::size_t bytes, bool sent)
 {
     logLine(LogLevel::Info, "bundle-reply",
-            {{"generation", number(inForce)},
-             {"peer", peer.value},
-             {"bytes", static_cast<std::int64_t>(bytes)},
-             {"outcome", std::string(sent ? "sent" : "over-budget")}});
+            {{"generation", number(inForce)}, {"peer", peer.value}, {"bytes", number(bytes)}, {"outcome", std::string(sent ? "sent" : "over-budget")}});
 }
 
 } // namespace agatedoor
--- a/src/agatedoor/control/bundle_log.hpp
+++ b/src/agatedoor/control/bundle_log.hpp
@@ -14,9 +14,10 @@
     Duration behind{}; ///< Time for which this node knew that its peers had a newer generation than its own.
 };
 
-/// @brief Logs that the bundle of @p head was applied, or the kind of error for which it was refused.
+/// @brief Logs that the bundle of @p head was applied, with what it holds, or the kind of error for which it was refused.
 /// A stale generation is logged at debug level only.
-void logBundleResult(const HeadRecord &head, const BundleOrigin &origin, const Result<Generation, ApplyError> &applied);
+/// @param inForce what is in force after the attempt
+void logBundleResult(const HeadRecord &head, const BundleOrigin &origin, const Result<Generation, ApplyError> &applied, const BundleInForce &inForce);
 
 /// @brief Logs that this node asked @p peer for a generation that the peer announced.
 void logBundleRequest(Generation announced, const NodeId &peer, bool sameRegion);
--- a/src/agatedoor/control/head_sync.cpp
+++ b/src/agatedoor/control/head_sync.cpp
@@ -392,7 +392,7 @@
         return false;
     }
     const auto applied = m_node.bundles.apply(*head, text.value());
-    logBundleResult(*head, {{}, bytes.size(), {}}, applied);
+    logBundleResult(*head, {{}, bytes.size(), {}}, applied, *m_node.bundles.current());
     m_peers.notifyGenerationChanged();
     return applied.has_value() || std::holds_alternative<StaleGeneration>(applied.error());
 }
--- a/src/agatedoor/control/peer_sync.cpp
+++ b/src/agatedoor/control/peer_sync.cpp
@@ -298,7 +298,7 @@
     }
     const auto text = textOf(m_exchange, reply);
     const auto applied = text ? m_node.bundles.apply(reply.head, *text) : Result<Generation, ApplyError>(ApplyError{DigestMismatch{reply.head.digest, {}}});
-    logBundleResult(reply.head, {reply.from, bytes, now - m_exchange.fetch.behindSince}, applied);
+    logBundleResult(reply.head, {reply.from, bytes, now - m_exchange.fetch.behindSince}, applied, *m_node.bundles.current());
     if (applied) {
         ++m_stats.bundlesFetched;
         return;
--- a/src/agatedoor/control/quota_sync.cpp
+++ b/src/agatedoor/control/quota_sync.cpp
@@ -28,7 +28,7 @@
     if (inForce->head.generation != m_generation) {
         m_generation = inForce->head.generation;
         m_quotas.clear();
-        for (const auto &customer : inForce->bundle.customers) {
+        for (const auto &customer : customersOf(inForce->bundle)) {
             if (customer.requestsPerSecond > 0) {
                 const double burst = customer.burst > 0 ? customer.burst : std::max(1.0, customer.requestsPerSecond);
                 m_quotas[customerKeyOf(customer.name)] = {customer.requestsPerSecond, burst};
--- a/src/agatedoor/node/admin_api.cpp
+++ b/src/agatedoor/node/admin_api.cpp
@@ -123,14 +123,20 @@
     return zones;
 }
 
+/// Number of customers; null when the bundle doesn't list them, and callers need no key.
+json::value dumpCustomers(const Bundle &bundle)
+{
+    return needsKeys(bundle) ? json::value(customersOf(bundle).size()) : json::value();
+}
+
 json::object dumpBundle(const NodeState &node)
 {
     const auto bundle = node.bundles.current();
     return {
-        {"generation", bundle->head.generation.value},  {"digest", bundle->head.digest.value},
-        {"operation", bundle->head.operation.value},    {"operator", bundle->head.operatorName},
-        {"services", bundle->bundle.services.size()},   {"routes", bundle->bundle.routes.size()},
-        {"customers", bundle->bundle.customers.size()}, {"head_age_ms", headAgeMs(node)},
+        {"generation", bundle->head.generation.value}, {"digest", bundle->head.digest.value},
+        {"operation", bundle->head.operation.value},   {"operator", bundle->head.operatorName},
+        {"services", bundle->bundle.services.size()},  {"routes", bundle->bundle.routes.size()},
+        {"customers", dumpCustomers(bundle->bundle)},  {"head_age_ms", headAgeMs(node)},
     };
 }
 
--- a/src/agatedoor/proxy/backend/backend_admission.cpp
+++ b/src/agatedoor/proxy/backend/backend_admission.cpp
@@ -105,12 +105,12 @@
                  {"outcome", std::string(wireName(RunOutcome::NotRun))}});
 }
 
-/// What the gate decides on. Where the configuration has customers, a request without one that got here is of a route that needs no
+/// What the gate decides on. Where the bundle needs keys, a request without one that got here is of a route that needs no
 /// key. The calls of backend servers are; they need not carry on the depth.
 AdmissionRequest makeAdmissionRequest(const Worker &worker, const BackendRequest &request)
 {
     AdmissionRequest made{.priority = request.priority, .deadline = request.deadline, .route = request.route, .mayWait = !request.spareOnly};
-    made.byCustomer = !worker.node.bundles.current()->bundle.customers.empty();
+    made.byCustomer = needsKeys(worker.node.bundles.current()->bundle);
     if (made.byCustomer) {
         made.customer = request.customer;
         made.nested = request.depth > 1 || request.customer.value.empty();
--- a/src/agatedoor/proxy/caller/customer_identity.cpp
+++ b/src/agatedoor/proxy/caller/customer_identity.cpp
@@ -40,7 +40,7 @@
 Reason identifyCustomer(RequestContext &context)
 {
     context.priority = context.route->priority;
-    if (context.bundle->bundle.customers.empty()) {
+    if (!needsKeys(context.bundle->bundle)) {
         return Reason::None;
     }
     context.customer = customerOf(context);
@@ -63,7 +63,7 @@
 
 void setCustomerHeaders(RequestContext &context)
 {
-    if (context.bundle->bundle.customers.empty()) {
+    if (!needsKeys(context.bundle->bundle)) {
         return;
     }
     const std::string &field = context.worker.node.edge.customer;
--- a/src/agatedoor/proxy/caller/customer_identity.hpp
+++ b/src/agatedoor/proxy/caller/customer_identity.hpp
@@ -9,8 +9,8 @@
 /// @return Reason::None, or why the request is refused
 Reason identifyCustomer(RequestContext &context);
 
-/// @brief Tells the backend server whose request it is, whatever the caller sent, and takes the API key out. Without effect where the bundle has
-/// no customers.
+/// @brief Tells the backend server whose request it is, whatever the caller sent, and takes the API key out. Without effect where the bundle
+/// needs no keys.
 void setCustomerHeaders(RequestContext &context);
 
 /// @brief True when both the request's route and its customer allow @p region.
--- a/src/agatedoor/state/bundle.cpp
+++ b/src/agatedoor/state/bundle.cpp
@@ -118,7 +118,7 @@
 {
     std::set<CustomerName> names;
     std::set<KeyDigest> keys;
-    for (const auto &customer : bundle.customers) {
+    for (const auto &customer : customersOf(bundle)) {
         if (!names.insert(customer.name).second) {
             return errorAt(file, customer.line, ConfigErrorKind::Duplicate, "customer.name", customer.name.value, "each customer once");
         }
@@ -160,13 +160,22 @@
     return *this;
 }
 
+BundleBuilder &BundleBuilder::listCustomers()
+{
+    if (!m_bundle.customers) {
+        m_bundle.customers.emplace();
+    }
+    return *this;
+}
+
 BundleBuilder &BundleBuilder::customer(Customer customer)
 {
-    const std::size_t index = m_bundle.customers.size();
+    listCustomers();
+    const std::size_t index = m_bundle.customers->size();
     for (const auto &key : customer.keys) {
         m_bundle.customerByKey.emplace(key, index);
     }
-    m_bundle.customers.push_back(std::move(customer));
+    m_bundle.customers->push_back(std::move(customer));
     return *this;
 }
 
@@ -248,10 +257,20 @@
     return {sha256Hex(key)};
 }
 
+bool needsKeys(const Bundle &bundle)
+{
+    return bundle.customers.has_value();
+}
+
+std::span<const Customer> customersOf(const Bundle &bundle)
+{
+    return bundle.customers ? std::span<const Customer>(*bundle.customers) : std::span<const Customer>();
+}
+
 const Customer *findCustomer(const Bundle &bundle, const KeyDigest &key)
 {
     const auto found = bundle.customerByKey.find(key);
-    return found == bundle.customerByKey.end() ? nullptr : &bundle.customers[found->second];
+    return found == bundle.customerByKey.end() ? nullptr : &customersOf(bundle)[found->second];
 }
 
 const Service *findService(const Bundle &bundle, const ServiceName &name)
--- a/src/agatedoor/state/bundle_parser.cpp
+++ b/src/agatedoor/state/bundle_parser.cpp
@@ -187,6 +187,9 @@
         BOOST_OUTCOME_TRY(Route route, readRoute(*table, name));
         builder.route(std::move(route));
     }
+    if (reader.has("customer")) {
+        builder.listCustomers();
+    }
     for (const toml::table *table : reader.tables("customer")) {
         BOOST_OUTCOME_TRY(Customer customer, readCustomer(*table, name));
         builder.customer(std::move(customer));
--- a/src/agatedoor/state/bundle_test.cpp
+++ b/src/agatedoor/state/bundle_test.cpp
@@ -182,6 +182,17 @@
         EXPECT_EQ(bundle.error().key, "customer.key_digests");
         EXPECT_EQ(toText(bundle.error()).find("key-1"), std::string::npos);
     });
+    test::section("a list without customers isn't the same as none: keys are needed, and none is valid", [&] {
+        const auto none = parseBundle(validBundle, "bundle.toml");
+        const auto empty = parseBundle("customer = []\n" + validBundle, "bundle.toml");
+        ASSERT_TRUE(none);
+        ASSERT_TRUE(empty) << toText(empty.error());
+        EXPECT_FALSE(needsKeys(none.value()));
+        EXPECT_TRUE(needsKeys(empty.value()));
+        EXPECT_TRUE(customersOf(empty.value()).empty());
+        EXPECT_EQ(findCustomer(empty.value(), keyDigestOf("key-1")), nullptr);
+        expectRejected("customer = [1]\n" + validBundle, ConfigErrorKind::WrongType, "customer");
+    });
     test::section("a customer that stands twice is rejected at its line", [&] {
         const std::string once = customer + "key_digests = []\n";
         const auto bundle = parseBundle(validBundle + once + once, "bundle.toml");
--- a/src/agatedoor/state/toml_table.cpp
+++ b/src/agatedoor/state/toml_table.cpp
@@ -179,7 +179,8 @@
         return values;
     }
     const toml::array *array = node->as_array();
-    if (array == nullptr || !array->is_homogeneous<toml::table>()) {
+    const bool isArrayOfTables = array != nullptr && (array->empty() || array->is_homogeneous<toml::table>());
+    if (!isArrayOfTables) {
         reject(key, ConfigErrorKind::WrongType, "another type", "an array of tables");
         return values;
     }
