--- a/include/agatedoor/state/bundle.hpp
+++ b/include/agatedoor/state/bundle.hpp
@@ -120,6 +120,8 @@
     BundleBuilder &limits(CallerLimits limits);
     /// @brief Accepts services without a route.
     BundleBuilder &allowUnrouted();
+    /// @brief Accepts a bundle without services or routes, which serves nothing.
+    BundleBuilder &allowEmpty();
     /// @brief Returns the bundle, or the first error found.
     Result<Bundle, ConfigError> build() const;
 
@@ -127,6 +129,7 @@
     std::string m_file = "bundle";
     Bundle m_bundle;
     bool m_unroutedAllowed = false;
+    bool m_emptyAllowed = false;
 };
 
 /// @brief Parses and validates the TOML text of a bundle.
--- a/src/agatedoor/state/bundle.cpp
+++ b/src/agatedoor/state/bundle.cpp
@@ -60,6 +60,17 @@
     return {kind, file, line, std::move(key), std::move(found), std::move(allowed)};
 }
 
+Result<Done, ConfigError> checkNotEmpty(const std::string &file, const Bundle &bundle)
+{
+    if (bundle.services.empty()) {
+        return errorAt(file, 1, ConfigErrorKind::Empty, "service", "no service", "at least one service");
+    }
+    if (bundle.routes.empty()) {
+        return errorAt(file, 1, ConfigErrorKind::Empty, "route", "no route", "at least one route");
+    }
+    return Done{};
+}
+
 Result<Done, ConfigError> checkServices(const std::string &file, const Bundle &bundle)
 {
     std::set<ServiceName> names;
@@ -197,13 +208,16 @@
     return *this;
 }
 
+BundleBuilder &BundleBuilder::allowEmpty()
+{
+    m_emptyAllowed = true;
+    return *this;
+}
+
 Result<Bundle, ConfigError> BundleBuilder::build() const
 {
-    if (m_bundle.services.empty()) {
-        return errorAt(m_file, 1, ConfigErrorKind::Empty, "service", "no service", "at least one service");
-    }
-    if (m_bundle.routes.empty()) {
-        return errorAt(m_file, 1, ConfigErrorKind::Empty, "route", "no route", "at least one route");
+    if (!m_emptyAllowed) {
+        BOOST_OUTCOME_TRYV2(auto &&, checkNotEmpty(m_file, m_bundle));
     }
     BOOST_OUTCOME_TRYV2(auto &&, checkServices(m_file, m_bundle));
     BOOST_OUTCOME_TRYV2(auto &&, checkRoutes(m_file, m_bundle));
--- a/src/agatedoor/state/bundle_test.cpp
+++ b/src/agatedoor/state/bundle_test.cpp
@@ -57,6 +57,7 @@
     test::section("a bundle without services or routes is rejected", [] {
         expectRejected("", ConfigErrorKind::Empty, "service");
         expectRejected("[[service]]\nname = \"a\"\n", ConfigErrorKind::Empty, "route");
+        expectRejected("service = []\nroute = []\n", ConfigErrorKind::Empty, "service");
     });
     test::section("contradictions and duplicates are rejected", [] {
         expectRejected(replaced(validBundle, "idempotent = true", "idempotent = false"), ConfigErrorKind::Contradiction, "route.idempotent");
