Reject an empty list of regions in the product's own bundles

An operator who took the last region off a route or a customer let its requests run in every region, where data must stay.

Cause: no list and an empty list were the same empty vector, and "none" means all.

Change: the parser refuses an empty list, which names no way to serve; who wants all regions leaves it out. A stored bundle with such a list is refused by nodes of this version too. The platform's allowedRegions isn't touched: the users' own example writes an empty list for a route without a restriction.

Evidence: the new section of Bundle.IsCheckedAsAWhole failed twice before (route and customer), and passes now.

--- a/src/agatedoor/state/bundle_parser.cpp
+++ b/src/agatedoor/state/bundle_parser.cpp
@@ -67,13 +67,18 @@
     return share;
 }
 
+/// Without the key all regions are allowed, so a list without any would allow what its writer meant to forbid.
 std::vector<RegionName> readRegions(TomlTable &reader)
 {
     std::vector<RegionName> regions;
-    if (reader.has("regions")) {
-        for (auto &name : reader.texts("regions")) {
-            regions.push_back({std::move(name)});
-        }
+    if (!reader.has("regions")) {
+        return regions;
+    }
+    for (auto &name : reader.texts("regions")) {
+        regions.push_back({std::move(name)});
+    }
+    if (regions.empty()) {
+        reader.reject("regions", ConfigErrorKind::Empty, "no region", "at least one region, or no list");
     }
     return regions;
 }
--- a/src/agatedoor/state/bundle_test.cpp
+++ b/src/agatedoor/state/bundle_test.cpp
@@ -74,6 +74,12 @@
         expectRejected(validBundle + "[budgets]\nretry_percent = 101\n", ConfigErrorKind::BadValue, "budgets.retry_percent");
         expectRejected("[[service]\n", ConfigErrorKind::Syntax, "");
     });
+    // Guards against the last region being taken off a route or customer, which would let its requests run in all of them.
+    test::section("an empty list of regions is rejected, since none at all allows every region", [] {
+        expectRejected(validBundle + "regions = []\n", ConfigErrorKind::Empty, "route.regions");
+        expectRejected(validBundle + "[[customer]]\nname = \"yard\"\nkey_digests = []\nregions = []\n", ConfigErrorKind::Empty, "customer.regions");
+        EXPECT_TRUE(parseBundle(validBundle + "regions = [\"north\"]\n", "bundle.toml"));
+    });
     test::section("a text that is too large for the store is rejected", [] {
         const std::string large(static_cast<std::size_t>(maxBundleSize.value) + 1, '#');
         expectRejected(large, ConfigErrorKind::TooLarge, "");
