Split the thread of the membership protocol from its inbox, its bundles and its log

Change: peer_inbox (queue and wake-ups, with a test of its own), bundle_sync (asks, answers and applies, built like quota_sync) and member_log; PeerSync::run is three steps. notifyNews stands for three functions that only woke the thread. The inbox now outlives the transport whose threads fill it.

--- a/src/agatedoor/control/fleet_stats.cpp
+++ b/src/agatedoor/control/fleet_stats.cpp
@@ -46,9 +46,9 @@
         {"dropped_messages", peers.traffic.droppedMessages},
         {"malformed_messages", peers.malformed},
         {"overflowed_messages", peers.overflowed},
-        {"bundles_fetched", peers.bundlesFetched},
-        {"bundles_refused", peers.bundlesRefused},
-        {"bundle_bytes_sent", peers.bundleBytes},
+        {"bundles_fetched", peers.bundles.fetched},
+        {"bundles_refused", peers.bundles.refused},
+        {"bundle_bytes_sent", peers.bundles.sentBytes},
         {"store_calls", std::accumulate(store.calls.begin(), store.calls.end(), std::uint64_t{0})},
         {"store_failures", store.failures},
         {"store_reachable", store.reachable},
@@ -73,8 +73,8 @@
     appendMetric(text, "control_received_bytes_total", stats.peers.traffic.receivedBytes);
     appendMetric(text, "control_dropped_messages_total", stats.peers.traffic.droppedMessages);
     appendMetric(text, "control_malformed_messages_total", stats.peers.malformed);
-    appendMetric(text, "bundle_sent_bytes_total", stats.peers.bundleBytes);
-    appendMetric(text, "bundles_refused_total", stats.peers.bundlesRefused);
+    appendMetric(text, "bundle_sent_bytes_total", stats.peers.bundles.sentBytes);
+    appendMetric(text, "bundles_refused_total", stats.peers.bundles.refused);
     for (std::size_t i = 0; i < storeCallCount; ++i) {
         const std::string call(wireName(static_cast<StoreCall>(i)));
         appendMetric(text, "store_calls_total{call=\"" + call + "\"}", stats.store.calls.at(i));
--- a/src/agatedoor/control/head_sync.cpp
+++ b/src/agatedoor/control/head_sync.cpp
@@ -317,7 +317,7 @@
     if (m_node.headConfirmation.record({inForce, at, m_position, m_node.settings.node, m_evacuated}, inForce)) {
         logEvacuations(m_evacuated, m_node.settings.node, BootClock::now() - at);
     }
-    m_peers.notifyHeadConfirmed();
+    m_peers.notifyNews();
 }
 
 /// Keeps the position for the next watch unless the store has dropped the history since, or has been restored.
@@ -393,7 +393,7 @@
     }
     const auto applied = m_node.bundles.apply(*head, text.value());
     logBundleResult(*head, {{}, bytes.size(), {}}, applied, *m_node.bundles.current());
-    m_peers.notifyGenerationChanged();
+    m_peers.notifyNews();
     return applied.has_value() || std::holds_alternative<StaleGeneration>(applied.error());
 }
 
--- a/src/agatedoor/control/peer_sync.hpp
+++ b/src/agatedoor/control/peer_sync.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "agatedoor/membership/bundle_exchange.hpp"
 #include "agatedoor/membership/head_exchange.hpp"
 #include "agatedoor/wire/peer_transport.hpp"
+#include "bundle_sync.hpp"
+#include "member_log.hpp"
 #include "node_state.hpp"
+#include "peer_inbox.hpp"
 #include "quota_sync.hpp"
 
-#include <condition_variable>
-#include <deque>
 #include <functional>
 #include <mutex>
 #include <thread>
@@ -41,9 +41,7 @@
     bool joined = false;
     std::uint64_t malformed = 0; ///< Messages that could not be decoded.
     std::uint64_t overflowed = 0; ///< Messages dropped because the inbox was full.
-    std::uint64_t bundlesFetched = 0; ///< Bundles from peers that were applied.
-    std::uint64_t bundlesRefused = 0; ///< Bundles from peers that could not be applied.
-    std::uint64_t bundleBytes = 0; ///< Bytes sent in bundle replies.
+    BundleSyncStats bundles;
 };
 
 /// @brief Controller that runs the protocol on its own thread. Request threads only read the fleet view that it publishes.
@@ -60,14 +58,9 @@
     /// @brief Announces a change of this node's record to peers at once, without waiting for the next tick.
     void notifyRecordChanged();
 
-    /// @brief Announces to peers at once that another bundle generation is in force on this node, or that it knows a newer era of the store.
-    void notifyGenerationChanged();
-
-    /// @brief Passes a new confirmation of the head on to the peers that wait for one.
-    void notifyHeadConfirmed();
-
-    /// @brief Asks for tokens of the quotas that requests wait for.
-    void notifyQuotaAsked();
+    /// @brief Tells and asks peers at once what is due: another bundle in force, a newer era of the store, a new confirmation of the head, or
+    /// tokens of quotas that requests wait for.
+    void notifyNews();
 
     /// @brief Calls @p listener regularly, on the thread of the protocol; it must not block.
     void onTick(std::function<void()> listener);
@@ -86,13 +79,10 @@
     explicit PeerSync(NodeState &node);
 
     void run();
-    void enqueue(std::string bytes);
-    std::deque<std::string> waitForWork(bool &recordChanged);
+    void doWork(const PeerWork &work, TimePoint now);
+    void tickMembership(TimePoint now);
     void drainBackendsThatSaidTheyLeave();
     void handleMessage(const std::string &bytes, TimePoint now);
-    void requestNewerBundle(const PeerMessage &message, TimePoint now);
-    void sendBundle(const PeerMessage &request, TimePoint now);
-    void applyBundleReply(const PeerMessage &reply, std::size_t bytes, TimePoint now);
     void callTickListener();
     void announceNews(TimePoint now);
     void takeHeadMessage(const PeerMessage &message);
@@ -101,33 +91,23 @@
     void announceBackendEnds(TimePoint now, bool refresh);
     void applyOutput(MembershipOutput output);
     void publishView(TimePoint now);
-    void logMemberChanges();
     MemberRecord currentRecord() const;
 
     NodeState &m_node;
+    PeerInbox m_inbox; ///< Before the transport, whose threads add to it.
     std::unique_ptr<PeerTransport> m_transport;
     Random m_random = entropyRandom();
-    mutable std::mutex m_stateMutex; ///< Guards the membership and the statistics, which other threads read.
+    mutable std::mutex m_stateMutex; ///< Guards the membership, the exchanges and the statistics, which other threads read.
     Membership m_membership;
-    PeerSyncStats m_stats;
-    BundleExchange m_exchange;
+    BundleSync m_bundles;
     HeadExchange m_headExchange;
     HeadPeers m_headPeers;
     QuotaSync m_quota;
+    MemberLog m_memberLog;
+    std::uint64_t m_malformed = 0;
     bool m_viewChanged = true;
-    std::map<NodeId, MemberStatus> m_loggedStatuses; ///< Status of each member as last logged.
-    bool m_joinLogged = false;
     std::mutex m_listenerMutex;
     std::function<void()> m_tickListener;
-    std::mutex m_inboxMutex;
-    std::condition_variable m_workAvailable;
-    std::deque<std::string> m_inbox;
-    std::uint64_t m_overflowed = 0;
-    bool m_recordChanged = false;
-    bool m_generationChanged = false;
-    bool m_headConfirmed = false;
-    bool m_quotaAsked = false;
-    bool m_stop = false;
     std::thread m_thread;
 };
 
--- a/src/agatedoor/control/store_calls.cpp
+++ b/src/agatedoor/control/store_calls.cpp
@@ -72,7 +72,7 @@
     const StoreEra era = m_newestEra();
     if (m_node.storeEra.raise(era)) {
         logLine(LogLevel::Info, "store-era", {{"era", static_cast<std::int64_t>(era.value)}, {"call", std::string(wireName(call))}});
-        m_peers.notifyGenerationChanged();
+        m_peers.notifyNews();
     }
 }
 
