Review case 13: a node without a free descriptor crashes and loses what runs

Seen: with as many callers' connections as a node has descriptors (4,100), the next call to the store throws in a thread that catches nothing; the process ends with SIGABRT and cuts the requests that it has passed on (LOST).

Shown by review/13/run.sh: a store, two nodes of the deploy file (4,100 descriptors each) and a target on loopback, six callers with unsafe requests on kept connections, and 4,300 consumers that keep a connection each.

--- a/review/stand_ins_3/stand_ins.hpp
+++ b/review/stand_ins_3/stand_ins.hpp
@@ -19,6 +19,7 @@
 #include <set>
 #include <sstream>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <thread>
 
@@ -402,7 +403,7 @@
     double retryBudgetRatio = 0.2;
     int budgetSlack = 64;
     int revokeMs = 0; ///< With failClosed; 0 without.
-    std::string moreSettings = {}; ///< Nothing but what the template names.
+    int maxFds = 0; ///< Descriptors that the platform gives the process; 0 leaves them as they are.
 };
 
 /// @brief The node of the deploy file as a process of its own.
@@ -440,6 +441,13 @@
             const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, 1);
             ::dup2(out, 2);
+            if (m_bounds.maxFds > 0) {
+                rlimit descriptors{};
+                ::getrlimit(RLIMIT_NOFILE, &descriptors);
+                descriptors.rlim_max = std::min<rlim_t>(descriptors.rlim_max, static_cast<rlim_t>(m_bounds.maxFds));
+                descriptors.rlim_cur = descriptors.rlim_max;
+                ::setrlimit(RLIMIT_NOFILE, &descriptors);
+            }
             ::execl("target/bin/agatedoord_platform", "target/bin/agatedoord_platform", "--settings", file.c_str(), nullptr);
             ::_exit(127);
         }
