--- a/review/13/case.cpp
+++ b/review/13/case.cpp
@@ -1,15 +1,16 @@
 #include "../stand_ins_3/fleet.hpp"
 
-/// @brief More consumers than the node has descriptors for keep a connection each; what becomes of the requests that run.
+/// @brief Consumers open new connections and leave them idle, as long as the node keeps them; what becomes of the requests that run.
 using namespace review;
 
 namespace {
 
-constexpr int consumerProcesses = 5;
-constexpr int connectionsEach = 860;
+constexpr int consumerProcesses = 6;
+constexpr int connectionsEach = 840;
+constexpr Millis betweenConnections{71}; ///< Of one process, so that 84 a second come.
 constexpr int maxFds = 4100; ///< limits.maxFds of the settings.
 
-/// A process with many consumers, each of which sends one request on a connection that it keeps. Waits for a line first.
+/// A process with many consumers, each of which sends one request on a new connection. Waits for a line first.
 class Consumers
 {
 public:
@@ -36,10 +37,10 @@
     Consumers(const Consumers &) = delete;
     Consumers &operator=(const Consumers &) = delete;
 
-    /// @brief Lets them come to @p node, named by the address of its machine.
-    void begin(const std::string &ip, int number) const
+    /// @brief Lets them come to the node at @p ip. @param leaveIdle they don't close their connections, but leave that to the node
+    void begin(const std::string &ip, int number, bool leaveIdle) const
     {
-        const std::string line = ip + " " + std::to_string(number) + "\n";
+        const std::string line = ip + " " + std::to_string(number) + (leaveIdle ? " 1" : " 0") + "\n";
         [[maybe_unused]] const auto written = ::write(m_begin[1], line.data(), line.size());
     }
 
@@ -53,18 +54,29 @@
         std::istringstream words{std::string(line)};
         std::string ip;
         int number = 0;
-        words >> ip >> number;
-        std::vector<Connection> kept;
+        int leaveIdle = 0;
+        words >> ip >> number >> leaveIdle;
+        std::vector<Connection> idle;
         for (int i = 0; i < connectionsEach; ++i) {
+            const auto next = Clock::now() + betweenConnections;
             auto connection = Connection::to({ip, 8304});
             if (connection.open()) {
                 connection.send(requestText("GET", "/look/few", "many-" + std::to_string(number) + "-" + std::to_string(i)));
-                connection.readMessage(true, Clock::now() + Millis(100));
-                kept.push_back(std::move(connection));
+                connection.readMessage(true, Clock::now() + Millis(1000));
             }
-            std::this_thread::sleep_for(Millis(2));
+            if (leaveIdle != 0) {
+                idle.push_back(std::move(connection));
+            }
+            std::erase_if(idle, [](const Connection &open) { return closedByPeer(open); });
+            std::this_thread::sleep_until(next);
         }
-        std::this_thread::sleep_for(std::chrono::seconds(10)); // Less than four fifths of idleTimeoutMs.
+    }
+
+    static bool closedByPeer(const Connection &connection)
+    {
+        char byte = 0;
+        const ssize_t size = ::recv(connection.socket(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
     }
 
     int m_begin[2]{};
@@ -141,13 +153,20 @@
         });
     }
     std::this_thread::sleep_for(std::chrono::seconds(2));
-    if (run.trouble) {
-        run.record.line(std::to_string(consumerProcesses * connectionsEach) + " consumers come, each with one request on a connection that it keeps");
-        for (std::size_t i = 0; i < many.size(); ++i) {
-            many[i]->begin(front.machine().ip, static_cast<int>(i));
+    run.record.line(std::to_string(consumerProcesses * 1000 / betweenConnections.count())
+                    + " consumers a second come, each with one request on a new connection; they "
+                    + (run.trouble ? "leave it idle until the node closes it" : "close it"));
+    for (std::size_t i = 0; i < many.size(); ++i) {
+        many[i]->begin(front.machine().ip, static_cast<int>(i), run.trouble);
+    }
+    const auto begun = Clock::now();
+    bool ended = false;
+    while (!ended && Clock::now() < begun + std::chrono::seconds(59)) {
+        ended = eventually([&] { return !front.running(); }, std::chrono::seconds(5));
+        if (!ended) {
+            run.record.line("the node has " + std::to_string(front.descriptors()) + " of " + std::to_string(maxFds) + " descriptors in use");
         }
     }
-    const bool ended = eventually([&] { return !front.running(); }, std::chrono::seconds(15));
     if (ended) {
         run.record.line("the node ended by itself with " + front.end());
         std::ifstream log(run.folder + "/" + front.machine().name + ".log");
--- a/review/stand_ins_3/stand_ins.hpp
+++ b/review/stand_ins_3/stand_ins.hpp
@@ -503,6 +503,13 @@
         }
         return {now, most};
     }
+    /// @brief Descriptors that the process has open.
+    long descriptors() const
+    {
+        std::error_code error;
+        const std::filesystem::directory_iterator open("/proc/" + std::to_string(m_pid) + "/fd", error);
+        return error ? 0 : std::distance(std::filesystem::begin(open), std::filesystem::end(open));
+    }
     bool isReady() const
     {
         auto connection = Connection::to(m_machine.ready());
