--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -7,7 +7,7 @@
 
 constexpr int targets = 22;
 constexpr int crashing = 3; ///< 0.136 of them.
-constexpr int jobs = 44; ///< Sent at once, every few seconds.
+constexpr int jobs = 88; ///< Sent at once, every few seconds.
 constexpr Millis downTime{3000};
 constexpr Millis workTime{600};
 
