--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -1,4 +1,4 @@
-#include "../stand_ins_3/fleet.hpp"
+#include "../fleet_3.hpp"
 
 /// @brief Three of 22 targets crash once at the same moment, while a job that comes again and again is in progress on each; what becomes of that job.
 using namespace review;
--- a/review/13/case.cpp
+++ b/review/13/case.cpp
@@ -1,4 +1,4 @@
-#include "../stand_ins_3/fleet.hpp"
+#include "../fleet_3.hpp"
 
 /// @brief A later configuration adds a route whose consumers send their bodies in chunks.
 using namespace review;
--- a/review/stand_ins_3/fleet.hpp
+++ b/review/fleet_3.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "stand_ins.hpp"
+#include "stand_ins_3.hpp"
 
 /// @brief A small deployment of the platform's node: a store, machines with a node and a target each.
 namespace review {
--- a/review/stand_ins_3/stand_ins.hpp
+++ b/review/stand_ins_3.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "http.hpp"
+#include "http_3.hpp"
 
 #include <boost/json.hpp>
 
