Tell a sound request from one that ends backend servers

Cause: an answer acquits a request of the ends beside it, but a node looked at a request's content only when it arrived, and only if ends were known then. The 74 copies that were answered after the crash by the other backend servers had arrived before it, so none counted. And once a request is refused it can't be answered, so nothing can acquit it: that is all there is after the loss of a whole service.

Change: - An answer is looked at when it comes: it acquits the request of all ends that are known by then. - A refused request is tried once more, in the way of a half-open circuit breaker, but one for the whole fleet. Without the store there is none. A trial that didn't run, or was answered, is given back.

Why it works: a request that ends each backend server which begins it is never answered, so neither an answer nor a trial can clear it; each trial costs one backend server, and there are two.

--- a/include/agatedoor/membership/peer_message.hpp
+++ b/include/agatedoor/membership/peer_message.hpp
@@ -26,11 +26,22 @@
     QuotaReply,
 };
 
+/// @brief A request beside an unexpected end as it is told to a peer, whose clock is another.
+struct RequestBesideEndNews
+{
+    ContentDigest content;
+    bool answeredSince = false;
+    int trials = 0;
+    std::chrono::milliseconds nextTrialIn{0}; ///< Only with trials.
+
+    friend bool operator==(const RequestBesideEndNews &, const RequestBesideEndNews &) = default;
+};
+
 /// @brief An unexpected end of a backend server as it is told to a peer, whose clock is another.
 struct BackendEndNews
 {
     BackendEndId id;
-    std::vector<RequestBesideEnd> requests;
+    std::vector<RequestBesideEndNews> requests;
     std::chrono::milliseconds forgetAfter{0};
 
     friend bool operator==(const BackendEndNews &, const BackendEndNews &) = default;
--- a/include/agatedoor/state/backend_ends.hpp
+++ b/include/agatedoor/state/backend_ends.hpp
@@ -11,7 +11,8 @@
 /// that runs them.
 ///
 /// Every request that was in progress beside an end is suspect; what acquits the others is an answer later on, or that they don't stand
-/// beside several ends. Nodes exchange the records, which merge in any order.
+/// beside several ends. One that is refused can't be answered, so a trial may be made of it, see request_trial.hpp. Nodes exchange the
+/// records, which merge in any order.
 namespace agatedoor {
 
 /// @brief A request that was in progress when a backend server ended.
@@ -19,6 +20,8 @@
 {
     ContentDigest content;
     bool answeredSince = false; ///< A backend server has answered the same request since, so it didn't cause the end.
+    int trials = 0; ///< Trials of the same request since, as far as this end's record knows.
+    Deadline nextTrialAt = {}; ///< The next trial is made at this time at the earliest; only with trials.
 
     friend bool operator==(const RequestBesideEnd &, const RequestBesideEnd &) = default;
 };
@@ -54,13 +57,30 @@
 /// @return the ends that this changed
 std::vector<BackendEnd> acquit(BackendEnds &ends, const ContentDigest &content);
 
+/// @brief What is known of one request by the ends that count for it.
+struct RequestSuspicion
+{
+    int ends = 0; ///< Unexpected ends beside the request, without an answer since.
+    TimePoint lastEndAt; ///< Of the newest of them; the epoch without any.
+    int trials = 0; ///< Trials of it so far.
+    Deadline nextTrialAt; ///< The next one is made at this time at the earliest; only with trials.
+};
+
+/// @brief What the ends that count for @p content at @p now tell of it.
+RequestSuspicion suspicionOf(const BackendEnds &ends, const ContentDigest &content, TimePoint now, const BackendEndOptions &options = {});
+
+/// @brief Notes that trials of @p content were made, @p trials in all, and that the next one is due at @p nextAt at the earliest.
+/// @return the ends that this changed
+std::vector<BackendEnd> noteTrials(BackendEnds &ends, const ContentDigest &content, int trials, Deadline nextAt);
+
 /// @brief Number of ends that count for @p content at @p now.
 int endsBeside(const BackendEnds &ends, const ContentDigest &content, TimePoint now);
 
 /// @brief Removes the ends that are to be forgotten at @p now.
 void forgetOldEnds(BackendEnds &ends, TimePoint now);
 
-/// @brief Hash of all records, equal on nodes that know the same; 0 when there are none.
+/// @brief Hash of all ends, of the requests beside them and of which were answered, equal on nodes that know the same; 0 when there are none.
+/// Trials aren't in it: the store counts them, and a node that hasn't heard of one learns of it when it asks.
 std::uint64_t digestOf(const BackendEnds &ends);
 
 } // namespace agatedoor
--- a/include/agatedoor/state/shared_backend_ends.hpp
+++ b/include/agatedoor/state/shared_backend_ends.hpp
@@ -17,6 +17,12 @@
     void recordEnd(BackendEndId id, const ContentDigest &content, TimePoint now);
     /// @brief Records that a backend server answered @p content.
     void recordAnswer(const ContentDigest &content);
+    /// @brief Records that trials of @p content were made, @p trials in all; the next one is due at @p nextAt at the earliest.
+    void recordTrials(const ContentDigest &content, int trials, Deadline nextAt);
+    /// @brief The same, but peers aren't told, since the trial may not be made after all.
+    void expectTrials(const ContentDigest &content, int trials, Deadline nextAt);
+    /// @brief What the ends that count for @p content tell of it.
+    RequestSuspicion suspicionOf(const ContentDigest &content, TimePoint now) const;
     /// @brief Number of ends that count for @p content.
     int endsBeside(const ContentDigest &content, TimePoint now) const;
     /// @brief Whether a request beside some end begins with @p headDigest, see contentHeadOf().
--- a/src/agatedoor/control/node_state.hpp
+++ b/src/agatedoor/control/node_state.hpp
@@ -4,6 +4,7 @@
 #include "agatedoor/membership/local_backends.hpp"
 #include "agatedoor/proxy/edge_headers.hpp"
 #include "agatedoor/release/bundle_controller.hpp"
+#include "agatedoor/state/answered_requests.hpp"
 #include "agatedoor/state/backend_notices.hpp"
 #include "agatedoor/state/head_confirmation.hpp"
 #include "agatedoor/state/newest_era.hpp"
@@ -11,6 +12,7 @@
 #include "agatedoor/state/settings.hpp"
 #include "agatedoor/state/shared_backend_ends.hpp"
 #include "agatedoor/state/shared_quota.hpp"
+#include "agatedoor/state/shared_trials.hpp"
 #include "agatedoor/state/snapshot.hpp"
 
 #include <atomic>
@@ -50,6 +52,8 @@
     Snapshot<FleetView> fleet;
     PathDelays pathDelays;
     SharedBackendEnds backendEnds; ///< Unexpected ends of backend servers anywhere, with the requests that were in progress.
+    AnsweredRequests answeredRequests; ///< Requests that this node passed an answer on to.
+    SharedTrials trials; ///< Of requests that are refused because backend servers ended beside them.
     NewestEra storeEra; ///< Known from the store's own replies or from peers.
     BackendNotices notices; ///< What backend servers anywhere said in the answers that this node passed on.
     SharedQuota quota; ///< Tokens for the requests of customers with a quota.
--- a/src/agatedoor/control/store_calls.hpp
+++ b/src/agatedoor/control/store_calls.hpp
@@ -24,10 +24,12 @@
     ReadBundle,
     ReadDepartures,
     PutDepartures,
+    AskForTrial,
+    GiveTrialBack,
 };
 
 /// @brief Number of StoreCall values.
-inline constexpr std::size_t storeCallCount = 10;
+inline constexpr std::size_t storeCallCount = 12;
 
 /// @brief Name of @p call in logs and metrics.
 std::string_view wireName(StoreCall call);
--- a/src/agatedoor/control/store_sync.cpp
+++ b/src/agatedoor/control/store_sync.cpp
@@ -8,6 +8,7 @@
     , m_head(node, peers, m_store, m_calls, std::move(releases), [this] { return m_contact.load(); })
     , m_contacts(node, peers, m_store, m_calls, m_contact)
     , m_departures(node, m_store, m_calls)
+    , m_trials(node, m_store, m_calls)
 {
 }
 
--- a/src/agatedoor/control/store_sync.hpp
+++ b/src/agatedoor/control/store_sync.hpp
@@ -3,9 +3,10 @@
 #include "contact_sync.hpp"
 #include "departure_sync.hpp"
 #include "head_sync.hpp"
+#include "trial_sync.hpp"
 
-/// @brief Access of a node to the store: contact addresses through which nodes join the fleet, the head record of the bundle in force, and the
-/// departures that were acknowledged.
+/// @brief Access of a node to the store: contact addresses through which nodes join the fleet, the head record of the bundle in force, the
+/// departures that were acknowledged, and trials of refused requests.
 namespace agatedoor {
 
 /// @brief Statistics for the dump and the metrics.
@@ -18,7 +19,7 @@
     bool reachable = false; ///< The last call succeeded or was rejected by the store.
 };
 
-/// @brief Runs the contact key, the head watch and the record of departures over one store.
+/// @brief Runs the contact key, the head watch, the record of departures and the trials over one store.
 class StoreSync
 {
 public:
@@ -39,6 +40,7 @@
     HeadSync m_head;
     ContactSync m_contacts;
     DepartureSync m_departures;
+    TrialSync m_trials;
 };
 
 } // namespace agatedoor
--- a/src/agatedoor/membership/membership_ends.cpp
+++ b/src/agatedoor/membership/membership_ends.cpp
@@ -8,11 +8,29 @@
 
 constexpr int extraTransmissions = 2;
 constexpr std::size_t endOverhead = 24; ///< Encoded size without the requests, in bytes.
-constexpr std::size_t requestBytes = 56; ///< Encoded size of one request, in bytes.
+constexpr std::size_t requestBytes = 64; ///< Encoded size of one request, in bytes.
+
+std::chrono::milliseconds millisUntil(Deadline deadline, TimePoint now)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(remaining(deadline, now));
+}
 
 BackendEndNews newsOf(const BackendEnd &end, TimePoint now)
 {
-    return {end.id, end.requests, std::chrono::duration_cast<std::chrono::milliseconds>(remaining(end.forgetAt, now))};
+    BackendEndNews news{end.id, {}, millisUntil(end.forgetAt, now)};
+    for (const auto &request : end.requests) {
+        news.requests.push_back({request.content, request.answeredSince, request.trials, millisUntil(request.nextTrialAt, now)});
+    }
+    return news;
+}
+
+BackendEnd endOf(const BackendEndNews &news, TimePoint now)
+{
+    BackendEnd end{news.id, {}, deadlineAfter(now, news.forgetAfter)};
+    for (const auto &request : news.requests) {
+        end.requests.push_back({request.content, request.answeredSince, request.trials, deadlineAfter(now, request.nextTrialIn)});
+    }
+    return end;
 }
 
 std::size_t sizeBound(const BackendEnd &end)
@@ -59,7 +77,7 @@
 {
     std::vector<BackendEnd> ends;
     for (const auto &news : message.ends) {
-        ends.push_back({news.id, news.requests, deadlineAfter(now, news.forgetAfter)});
+        ends.push_back(endOf(news, now));
     }
     return ends;
 }
--- a/src/agatedoor/membership/peer_message.cpp
+++ b/src/agatedoor/membership/peer_message.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t backendOverhead = 28;
 constexpr std::size_t departureOverhead = 16;
 constexpr std::size_t maxContentBytes = 64; ///< Of a request's digest.
+constexpr std::uint32_t maxTrials = 1000; ///< Higher counts in messages are read as this.
 constexpr std::uint64_t maxToldMicroseconds = 3'600'000'000; ///< Longer times in messages are read as this.
 constexpr std::uint32_t maxQuotaMs = 600'000; ///< Longest time told of a quota.
 
@@ -50,20 +51,24 @@
         auto &encoded = *message.add_requests();
         encoded.set_content(request.content.value);
         encoded.set_answered_since(request.answeredSince);
+        encoded.set_trials(static_cast<std::uint32_t>(request.trials));
+        encoded.set_next_trial_in_ms(static_cast<std::uint32_t>(request.nextTrialIn.count()));
     }
 }
 
 BackendEndNews decodeEnd(const messages::BackendEnd &message)
 {
     const std::uint64_t longest = std::chrono::duration_cast<std::chrono::milliseconds>(BackendEndOptions{}.retention).count();
+    const auto bounded = [longest](std::uint64_t millis) { return std::chrono::milliseconds(std::min(millis, longest)); };
     BackendEndNews end;
     end.id = {message.id()};
-    end.forgetAfter = std::chrono::milliseconds(std::min(message.forget_after_ms(), longest));
+    end.forgetAfter = bounded(message.forget_after_ms());
     for (const auto &request : message.requests()) {
         if (request.content().size() > maxContentBytes) {
             continue;
         }
-        end.requests.push_back({{request.content()}, request.answered_since()});
+        const auto trials = static_cast<int>(std::min<std::uint32_t>(request.trials(), maxTrials));
+        end.requests.push_back({{request.content()}, request.answered_since(), trials, bounded(request.next_trial_in_ms())});
     }
     return end;
 }
--- a/src/agatedoor/proxy/caller/filter.cpp
+++ b/src/agatedoor/proxy/caller/filter.cpp
@@ -5,6 +5,7 @@
 #include "forward.hpp"
 #include "quota_admission.hpp"
 #include "suspect.hpp"
+#include "trial.hpp"
 
 #include <algorithm>
 #include <array>
@@ -142,13 +143,15 @@
 }
 
 /// Refuses a request beside which several backend servers have ended, and which none has answered since. It takes no other down then.
+/// Since it may be sound, it is tried once in a while.
 asio::awaitable<FilterVerdict> refuseWhatEndsBackends(RequestContext &context)
 {
     recognizeContent(context);
-    if (endsBeside(context) >= BackendEndOptions{}.refuseAfter) {
-        co_return refuse(context, Reason::EndsBackends);
+    if (endsBeside(context) < BackendEndOptions{}.refuseAfter) {
+        co_return FilterVerdict::Continue;
     }
-    co_return FilterVerdict::Continue;
+    const bool isTrial = co_await beginTrial(context);
+    co_return isTrial ? FilterVerdict::Continue : refuse(context, Reason::EndsBackends);
 }
 
 asio::awaitable<FilterVerdict> keepWithinQuota(RequestContext &context)
@@ -162,8 +165,12 @@
 
 asio::awaitable<FilterVerdict> forwardToBackend(RequestContext &context)
 {
+    if (context.trial) {
+        context.trial->begin();
+    }
     co_await forward(context);
     settleQuota(context);
+    endTrial(context);
     co_return FilterVerdict::Answer;
 }
 
--- a/src/agatedoor/proxy/caller/quota_admission.cpp
+++ b/src/agatedoor/proxy/caller/quota_admission.cpp
@@ -2,9 +2,7 @@
 
 #include "agatedoor/base/random_time.hpp"
 #include "agatedoor/wire/log.hpp"
-
-#include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include "wake_timer.hpp"
 
 namespace agatedoor {
 
@@ -21,11 +19,10 @@
     TokenWait(Worker &worker, CustomerKey customer)
         : m_quota(worker.node.quota)
         , m_waiter(std::make_shared<QuotaWaiter>())
-        , m_timer(std::make_shared<asio::steady_timer>(worker.context))
+        , m_timer(worker, longestWait)
     {
         m_waiter->customer = customer;
-        m_waiter->wake = [&context = worker.context, timer = m_timer] { asio::post(context, [timer] { timer->expires_at(TimePoint::min()); }); };
-        m_timer->expires_after(longestWait);
+        m_waiter->wake = m_timer.waker();
         m_quota.wait(m_waiter);
     }
     ~TokenWait()
@@ -40,9 +37,7 @@
 
     asio::awaitable<TokenResult> result(Cancellation &cancellation)
     {
-        error_code ignored;
-        const CancelHook hook(&cancellation, [this] { m_timer->expires_at(TimePoint::min()); });
-        co_await m_timer->async_wait(into(ignored));
+        co_await m_timer.wait(cancellation);
         m_settled = true;
         co_return m_quota.stopWaiting(m_waiter);
     }
@@ -50,7 +45,7 @@
 private:
     SharedQuota &m_quota;
     std::shared_ptr<QuotaWaiter> m_waiter;
-    std::shared_ptr<asio::steady_timer> m_timer;
+    WakeTimer m_timer;
     bool m_settled = false;
 };
 
--- a/src/agatedoor/proxy/caller/suspect.cpp
+++ b/src/agatedoor/proxy/caller/suspect.cpp
@@ -18,17 +18,43 @@
                  {"ends", static_cast<std::int64_t>(endsBeside(context))}});
 }
 
+void computeHead(RequestContext &context)
+{
+    if (context.contentHead.empty()) {
+        context.contentHead = contentHeadOf(context.request, context.worker.node.edge);
+    }
+}
+
+void computeContent(RequestContext &context)
+{
+    computeHead(context);
+    if (context.content.value.empty()) {
+        context.content = contentOf(context.request, context.contentHead);
+    }
+}
+
+/// An answer acquits the request of ends that became known while it ran, too: it may have been sent before any.
+void noteAnswer(RequestContext &context)
+{
+    NodeState &node = context.worker.node;
+    node.answeredRequests.record(fingerprintOf(context.request, node.edge));
+    recognizeContent(context);
+    if (!context.content.value.empty()) {
+        node.backendEnds.recordAnswer(context.content);
+    }
+}
+
 } // namespace
 
 void recognizeContent(RequestContext &context)
 {
     const NodeState &node = context.worker.node;
-    if (node.backendEnds.empty()) {
+    if (node.backendEnds.empty() || !context.content.value.empty()) {
         return;
     }
-    const std::string head = contentHeadOf(context.request, node.edge);
-    if (node.backendEnds.mayKnow(head)) {
-        context.content = contentOf(context.request, head);
+    computeHead(context);
+    if (node.backendEnds.mayKnow(context.contentHead)) {
+        computeContent(context);
     }
 }
 
@@ -40,11 +66,11 @@
 void learnFromAttempt(RequestContext &context, const AttemptResult &result)
 {
     NodeState &node = context.worker.node;
-    if (result.outcome == RunOutcome::Answered && !context.content.value.empty()) {
-        node.backendEnds.recordAnswer(context.content);
+    if (result.outcome == RunOutcome::Answered) {
+        noteAnswer(context);
     }
     if (result.reason == Reason::BackendEnded && result.end.value != 0) {
-        context.content = contentOf(context.request, contentHeadOf(context.request, node.edge));
+        computeContent(context);
         node.backendEnds.recordEnd(result.end, context.content, Clock::now());
         logEnd(context, result);
     }
--- a/src/agatedoor/proxy/caller/suspect.hpp
+++ b/src/agatedoor/proxy/caller/suspect.hpp
@@ -5,7 +5,7 @@
 /// @brief What is known of a request's part in unexpected ends of backend servers.
 namespace agatedoor {
 
-/// @brief Computes the content of a request if some request beside an end may be the same one.
+/// @brief Computes the content of a request, unless it is known, if some request beside an end may be the same one.
 void recognizeContent(RequestContext &context);
 
 /// @brief Number of ends that count for the request; 0 unless it was recognized.
--- a/src/agatedoor/proxy/request_context.hpp
+++ b/src/agatedoor/proxy/request_context.hpp
@@ -48,7 +48,9 @@
     std::optional<Deadline> retryAt; ///< When the caller of a refused request may come back, if that is known.
     std::optional<Deadline> roomAt; ///< Earliest time at which an owning node that refused the request for load expects to have room.
     AttemptResult result; ///< Result that the caller receives.
+    std::string contentHead; ///< See contentHeadOf(); empty until it is needed.
     ContentDigest content; ///< Set when the same request may have been in progress beside an unexpected end of a backend server.
+    std::optional<HeldTrial> trial; ///< The request would be refused, but is sent as a trial.
     Cancellation cancellation; ///< Requested when the caller closes its connection.
 };
 
--- a/src/agatedoor/state/backend_ends.cpp
+++ b/src/agatedoor/state/backend_ends.cpp
@@ -7,14 +7,25 @@
 
 namespace {
 
-/// Adds one request, or that it was answered; true when that was new.
+/// Takes over that more trials were made than @p known tells; true when it told fewer.
+bool mergeTrials(RequestBesideEnd &known, int trials, Deadline nextAt)
+{
+    if (trials <= known.trials) {
+        return false;
+    }
+    known.trials = trials;
+    known.nextTrialAt = nextAt;
+    return true;
+}
+
+/// Adds one request, or that it was answered or tried; true when that was new.
 bool mergeRequest(BackendEnd &known, const RequestBesideEnd &request, const BackendEndOptions &options)
 {
     const auto found = std::find_if(known.requests.begin(), known.requests.end(), [&](const auto &other) { return other.content == request.content; });
     if (found != known.requests.end()) {
-        const bool learned = request.answeredSince && !found->answeredSince;
+        const bool acquitted = request.answeredSince && !found->answeredSince;
         found->answeredSince = found->answeredSince || request.answeredSince;
-        return learned;
+        return mergeTrials(*found, request.trials, request.nextTrialAt) || acquitted;
     }
     if (known.requests.size() >= options.maxRequests) {
         return false;
@@ -23,6 +34,15 @@
     return true;
 }
 
+/// The record of @p content beside @p end, if that counts for it; null otherwise.
+template <typename End>
+auto *suspectBeside(End &end, const ContentDigest &content)
+{
+    const auto found = std::find_if(end.requests.begin(), end.requests.end(),
+                                    [&content](const RequestBesideEnd &request) { return request.content == content && !request.answeredSince; });
+    return found == end.requests.end() ? nullptr : &*found;
+}
+
 std::map<ContentDigest, int> endsByContent(const BackendEnds &ends)
 {
     std::map<ContentDigest, int> counts;
@@ -78,25 +98,47 @@
 {
     std::vector<BackendEnd> changed;
     for (auto &[id, end] : ends.byId) {
-        for (auto &request : end.requests) {
-            if (request.content == content && !request.answeredSince) {
-                request.answeredSince = true;
-                changed.push_back(end);
-            }
+        if (RequestBesideEnd *request = suspectBeside(end, content)) {
+            request->answeredSince = true;
+            changed.push_back(end);
         }
     }
     return changed;
 }
 
+std::vector<BackendEnd> noteTrials(BackendEnds &ends, const ContentDigest &content, int trials, Deadline nextAt)
+{
+    std::vector<BackendEnd> changed;
+    for (auto &[id, end] : ends.byId) {
+        RequestBesideEnd *request = suspectBeside(end, content);
+        if (request != nullptr && mergeTrials(*request, trials, nextAt)) {
+            changed.push_back(end);
+        }
+    }
+    return changed;
+}
+
+RequestSuspicion suspicionOf(const BackendEnds &ends, const ContentDigest &content, TimePoint now, const BackendEndOptions &options)
+{
+    RequestSuspicion suspicion;
+    for (const auto &[id, end] : ends.byId) {
+        const RequestBesideEnd *request = suspectBeside(end, content);
+        if (request == nullptr || expired(end.forgetAt, now)) {
+            continue;
+        }
+        ++suspicion.ends;
+        suspicion.lastEndAt = std::max(suspicion.lastEndAt, end.forgetAt.at - options.retention);
+        if (request->trials > suspicion.trials) {
+            suspicion.trials = request->trials;
+            suspicion.nextTrialAt = request->nextTrialAt;
+        }
+    }
+    return suspicion;
+}
+
 int endsBeside(const BackendEnds &ends, const ContentDigest &content, TimePoint now)
 {
-    const auto counts = [&](const auto &entry) {
-        const BackendEnd &end = entry.second;
-        return !expired(end.forgetAt, now) && std::any_of(end.requests.begin(), end.requests.end(), [&](const RequestBesideEnd &request) {
-            return request.content == content && !request.answeredSince;
-        });
-    };
-    return static_cast<int>(std::count_if(ends.byId.begin(), ends.byId.end(), counts));
+    return suspicionOf(ends, content, now).ends;
 }
 
 void forgetOldEnds(BackendEnds &ends, TimePoint now)
--- a/src/agatedoor/state/shared_backend_ends.cpp
+++ b/src/agatedoor/state/shared_backend_ends.cpp
@@ -17,6 +17,24 @@
     addNews(acquit(m_ends, content));
 }
 
+void SharedBackendEnds::recordTrials(const ContentDigest &content, int trials, Deadline nextAt)
+{
+    const std::lock_guard lock(m_mutex);
+    addNews(noteTrials(m_ends, content, trials, nextAt));
+}
+
+void SharedBackendEnds::expectTrials(const ContentDigest &content, int trials, Deadline nextAt)
+{
+    const std::lock_guard lock(m_mutex);
+    (void)noteTrials(m_ends, content, trials, nextAt);
+}
+
+RequestSuspicion SharedBackendEnds::suspicionOf(const ContentDigest &content, TimePoint now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return agatedoor::suspicionOf(m_ends, content, now);
+}
+
 int SharedBackendEnds::endsBeside(const ContentDigest &content, TimePoint now) const
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/process/deadly_request_test.cpp
+++ b/tests/process/deadly_request_test.cpp
@@ -1,3 +1,4 @@
+#include "agatedoor/state/request_trial.hpp"
 #include "support/deployment.hpp"
 #include "support/story.hpp"
 
@@ -27,11 +28,16 @@
         deployment.startNode({"ingress1", "sv-vasteras", "svealand"});
         for (int i = 0; i < owners; ++i) {
             deployment.startNode({"owner" + std::to_string(i), "sv-uppsala", "svealand"});
-            deployment.startBackend({.name = nameOf(i), .node = "owner" + std::to_string(i), .service = "ritarkiv", .serviceUs = 60'000});
+            startBackend(i);
         }
         deployment.waitUntilReady(owners);
     }
 
+    void startBackend(int backend)
+    {
+        deployment.startBackend({.name = nameOf(backend), .node = "owner" + std::to_string(backend), .service = "ritarkiv", .serviceUs = 60'000});
+    }
+
     static std::string nameOf(int backend) { return "drawings" + std::to_string(backend); }
 
     /// A lookup by @p caller; a deadly one ends the backend server that runs it.
@@ -103,4 +109,26 @@
     EXPECT_EQ(endedBackends(), ended);
 }
 
+/// Guards against trials of a refused request that take backend server after backend server with them.
+TEST_F(DeadlyRequests, AreTriedAFewTimesAndNoMore)
+{
+    int ended = 0;
+    const auto startAgain = [&] {
+        for (int i = 0; i < owners; ++i) {
+            if (deployment.backend(nameOf(i)).waitForExit(std::chrono::milliseconds(0))) {
+                ++ended;
+                startBackend(i);
+            }
+        }
+    };
+    const auto until = std::chrono::steady_clock::now() + TrialOptions{}.wait + std::chrono::seconds(6);
+    for (int i = 0; std::chrono::steady_clock::now() < until; ++i) {
+        lookUp("ingress" + std::to_string(i % 2), "deadly-" + std::to_string(i), true);
+        startAgain();
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    EXPECT_GE(ended, allowedEnds);
+    EXPECT_LE(ended, allowedEnds + 1); // One trial by then; both nodes go on refusing.
+}
+
 } // namespace agatedoor::test
