Acquit by sound answers only, and end no other request's wait for a trial

A backend server that fails may not have begun to run it, so a deadly request could be cleared by one that is out of order. It counts for nothing now, and a trial so answered counts as made. - A request that was refused while another one waited for the same trial ended that wait, and the trial went back to the store unused. SharedTrials.* asks for it now; the old code fails there.

--- a/include/agatedoor/state/shared_trials.hpp
+++ b/include/agatedoor/state/shared_trials.hpp
@@ -25,7 +25,6 @@
 struct TrialWaiter
 {
     RequestTrial trial;
-    bool ended = false;
     TrialAnswer answer = TrialAnswer::Unknown;
     std::function<void()> wake; ///< Called on any thread, without the mutex, when the wait ends.
 };
@@ -50,7 +49,7 @@
 public:
     /// @brief Asks for the trial of @p waiter; false when this node has asked for one of the same request a short time ago.
     bool ask(const std::shared_ptr<TrialWaiter> &waiter, TimePoint now);
-    /// @brief Ends a wait. When it came to Granted, the caller holds the trial.
+    /// @brief Ends the wait of @p waiter, if it waits. When it came to Granted, the caller holds the trial.
     TrialAnswer stopWaiting(const std::shared_ptr<TrialWaiter> &waiter);
     /// @brief Gives a held trial back.
     void giveBack(const RequestTrial &trial);
@@ -62,7 +61,7 @@
     void close();
 
 private:
-    std::shared_ptr<TrialWaiter> takeWaiter(const RequestTrial &trial);
+    std::shared_ptr<TrialWaiter> endWait(const RequestTrial &trial, TrialAnswer answer);
 
     std::mutex m_mutex;
     std::condition_variable m_workAvailable;
--- a/src/agatedoor/proxy/caller/suspect.cpp
+++ b/src/agatedoor/proxy/caller/suspect.cpp
@@ -33,8 +33,8 @@
     }
 }
 
-/// An answer acquits the request of ends that became known while it ran, too: it may have been sent before any.
-void noteAnswer(RequestContext &context)
+/// The answer acquits the request of ends that became known while it ran, too: it may have been sent before any.
+void noteAcquittal(RequestContext &context)
 {
     NodeState &node = context.worker.node;
     node.answeredRequests.record(fingerprintOf(context.request, node.edge));
@@ -63,11 +63,16 @@
     return context.content.value.empty() ? 0 : context.worker.node.backendEnds.endsBeside(context.content, Clock::now());
 }
 
+bool acquits(const AttemptResult &result)
+{
+    return result.outcome == RunOutcome::Answered && result.response && http::to_status_class(result.response->result()) != http::status_class::server_error;
+}
+
 void learnFromAttempt(RequestContext &context, const AttemptResult &result)
 {
     NodeState &node = context.worker.node;
-    if (result.outcome == RunOutcome::Answered) {
-        noteAnswer(context);
+    if (acquits(result)) {
+        noteAcquittal(context);
     }
     if (result.reason == Reason::BackendEnded && result.end.value != 0) {
         computeContent(context);
--- a/src/agatedoor/proxy/caller/suspect.hpp
+++ b/src/agatedoor/proxy/caller/suspect.hpp
@@ -11,6 +11,10 @@
 /// @brief Number of ends that count for the request; 0 unless it was recognized.
 int endsBeside(const RequestContext &context);
 
+/// @brief Whether the answer shows that the request doesn't end the backend server that runs it. A server error doesn't: a backend server that
+/// fails may not have begun to run it.
+bool acquits(const AttemptResult &result);
+
 /// @brief Learns from one attempt: that a backend server ended meanwhile, or answered.
 void learnFromAttempt(RequestContext &context, const AttemptResult &result);
 
--- a/src/agatedoor/proxy/caller/trial.cpp
+++ b/src/agatedoor/proxy/caller/trial.cpp
@@ -3,6 +3,7 @@
 #include "agatedoor/wire/log.hpp"
 #include "backend_choice.hpp"
 #include "request_content.hpp"
+#include "suspect.hpp"
 #include "wake_timer.hpp"
 
 namespace agatedoor {
@@ -118,7 +119,7 @@
     }
     const RunOutcome outcome = context.result.outcome;
     const int made = context.trial->trial().number + 1;
-    if (outcome == RunOutcome::Answered || outcome == RunOutcome::NotRun) {
+    if (acquits(context.result) || outcome == RunOutcome::NotRun) {
         context.trial->giveBack();
     } else {
         context.worker.node.backendEnds.recordTrials(context.content, made, deadlineAfter(Clock::now(), options.waitBetween));
--- a/src/agatedoor/state/request_trial_test.cpp
+++ b/src/agatedoor/state/request_trial_test.cpp
@@ -158,7 +158,9 @@
     waiter->wake = [&woken] { ++woken; };
     section("a node asks once, and not again at once", [&] {
         EXPECT_TRUE(trials.ask(waiter, start));
-        EXPECT_FALSE(trials.ask(std::make_shared<TrialWaiter>(*waiter), start + 100ms));
+        const auto second = std::make_shared<TrialWaiter>(*waiter);
+        EXPECT_FALSE(trials.ask(second, start + 100ms));
+        EXPECT_EQ(trials.stopWaiting(second), TrialAnswer::Unknown) << "which ends no other wait";
         EXPECT_TRUE(std::holds_alternative<AskForTrial>(*trials.waitForWork()));
     });
     section("the request learns what the store said", [&] {
--- a/src/agatedoor/state/shared_trials.cpp
+++ b/src/agatedoor/state/shared_trials.cpp
@@ -27,9 +27,9 @@
 TrialAnswer SharedTrials::stopWaiting(const std::shared_ptr<TrialWaiter> &waiter)
 {
     const std::lock_guard lock(m_mutex);
-    if (!waiter->ended) {
-        waiter->ended = true;
-        m_waiters.erase(waiter->trial);
+    const auto waiting = m_waiters.find(waiter->trial);
+    if (waiting != m_waiters.end() && waiting->second == waiter) {
+        m_waiters.erase(waiting);
     }
     return waiter->answer;
 }
@@ -55,15 +55,7 @@
 
 void SharedTrials::reply(const RequestTrial &trial, TrialAnswer answer)
 {
-    const auto waiter = [&] {
-        const std::lock_guard lock(m_mutex);
-        auto taken = takeWaiter(trial);
-        if (taken) {
-            taken->ended = true;
-            taken->answer = answer;
-        }
-        return taken;
-    }();
+    const auto waiter = endWait(trial, answer);
     if (waiter) {
         waiter->wake();
     } else if (answer == TrialAnswer::Granted) {
@@ -71,11 +63,16 @@
     }
 }
 
-/// Call with the mutex held.
-std::shared_ptr<TrialWaiter> SharedTrials::takeWaiter(const RequestTrial &trial)
+/// Returns the waiter that got the answer; null when nobody waits any more.
+std::shared_ptr<TrialWaiter> SharedTrials::endWait(const RequestTrial &trial, TrialAnswer answer)
 {
-    const auto found = m_waiters.extract(trial);
-    return found.empty() ? nullptr : found.mapped();
+    const std::lock_guard lock(m_mutex);
+    const auto waiting = m_waiters.extract(trial);
+    if (waiting.empty()) {
+        return nullptr;
+    }
+    waiting.mapped()->answer = answer;
+    return waiting.mapped();
 }
 
 void SharedTrials::close()
--- a/tests/process/endless_bytes_test.cpp
+++ b/tests/process/endless_bytes_test.cpp
@@ -4,7 +4,6 @@
 #include "support/raw_connection.hpp"
 #include "support/story.hpp"
 
-#include <fstream>
 #include <future>
 #include <memory>
 #include <thread>
@@ -53,20 +52,6 @@
     };
 }
 
-/// Largest resident memory of a process so far, in KiB.
-std::int64_t peakMemoryKb(pid_t pid)
-{
-    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
-    std::string word;
-    std::int64_t size = 0;
-    while (status >> word) {
-        if (word == "VmHWM:") {
-            status >> size;
-        }
-    }
-    return size;
-}
-
 } // namespace
 
 /// Two nodes: callers connect to the first, the second owns one backend server that sends bytes without end and one that is sound.
@@ -95,7 +80,7 @@
     for (const auto &endless : endlessAnswers()) {
         const std::string name = "endless" + std::to_string(number++);
         section(endless.name, [&] {
-            const auto before = peakMemoryKb(deployment.node("owner").pid());
+            const auto before = deployment.node("owner").peakMemoryKb();
             RawBackend backend(address, [&](std::size_t part) {
                 std::this_thread::sleep_for(endless.pause);
                 return part == 0 && !endless.start.empty() ? endless.start : endless.again;
@@ -109,7 +94,7 @@
             section("the connection is closed, and little was taken", [&] {
                 EXPECT_TRUE(eventually([&] { return backend.closedByOther() > 0; }));
                 EXPECT_LE(backend.mostSentBytes(), endless.bound + socketBufferBytes());
-                EXPECT_LE(peakMemoryKb(deployment.node("owner").pid()) - before, memoryBoundKb);
+                EXPECT_LE(deployment.node("owner").peakMemoryKb() - before, memoryBoundKb);
             });
             section("the slot comes back and the neighbour is served", [&] {
                 EXPECT_TRUE(eventually([&] {
@@ -141,7 +126,7 @@
         ASSERT_EQ(ask(deployment.backendsOf("owner"), {"PUT", "/v1/backends/endless" + std::to_string(i), {}, body}).status, 200);
     }
     deployment.waitUntilReady(1 + answers);
-    const auto before = peakMemoryKb(deployment.node("owner").pid());
+    const auto before = deployment.node("owner").peakMemoryKb();
     std::vector<std::future<HttpReply>> replies;
     replies.reserve(answers);
     for (int i = 0; i < answers; ++i) {
@@ -152,7 +137,7 @@
     for (auto &reply : replies) {
         EXPECT_GE(reply.get().status, 502);
     }
-    const std::int64_t grownKb = peakMemoryKb(deployment.node("owner").pid()) - before;
+    const std::int64_t grownKb = deployment.node("owner").peakMemoryKb() - before;
     RecordProperty("grown_kb", static_cast<int>(grownKb));
     EXPECT_LE(grownKb, memoryBoundKb);
     EXPECT_TRUE(neighbourServes());
@@ -173,13 +158,13 @@
                 return part == 0 && !endless.start.empty() ? endless.start : endless.again;
             });
             for (const auto &[method, target] : {std::pair{"GET", "/ritarkiv"}, std::pair{"POST", "/besiktning"}}) {
-                const auto before = peakMemoryKb(deployment.node("ingress").pid());
+                const auto before = deployment.node("ingress").peakMemoryKb();
                 const TimePoint asked = Clock::now();
                 const auto reply = ask(deployment.callers("ingress"), {method, target, {{"Agatedoor-Timeout-Us", "1000000"}}, {}});
                 EXPECT_LT(Clock::now() - asked, 1s + slack) << method;
                 EXPECT_TRUE(reply.status >= 502 && reply.status <= 504) << method << " " << reply.status << reply.body;
                 EXPECT_LE(damaged.mostSentBytes(), endless.bound + socketBufferBytes()) << method;
-                EXPECT_LE(peakMemoryKb(deployment.node("ingress").pid()) - before, memoryBoundKb) << method;
+                EXPECT_LE(deployment.node("ingress").peakMemoryKb() - before, memoryBoundKb) << method;
             }
             EXPECT_TRUE(eventually([&] { return damaged.closedByOther() > 0; }));
             EXPECT_TRUE(neighbourServes());
@@ -203,7 +188,7 @@
     };
     for (const auto &[name, start] : starts) {
         section(name, [&, start = start] {
-            const auto before = peakMemoryKb(deployment.node("ingress").pid());
+            const auto before = deployment.node("ingress").peakMemoryKb();
             const RawConnection connection(deployment.callers("ingress"), OtherEnd::MayBeGone);
             connection.send(start);
             for (std::size_t i = 0; i < callerParts; ++i) {
@@ -211,7 +196,7 @@
             }
             const std::string answer = connection.receive("\r\n\r\n");
             EXPECT_TRUE(answer.empty() || answer.starts_with("HTTP/1.1 4")) << answer;
-            EXPECT_LE(peakMemoryKb(deployment.node("ingress").pid()) - before, memoryBoundKb);
+            EXPECT_LE(deployment.node("ingress").peakMemoryKb() - before, memoryBoundKb);
             EXPECT_TRUE(neighbourServes());
         });
     }
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -108,6 +108,19 @@
     return m_exitCode;
 }
 
+std::int64_t Process::peakMemoryKb() const
+{
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    std::string word;
+    std::int64_t size = 0;
+    while (status >> word) {
+        if (word == "VmHWM:") {
+            status >> size;
+        }
+    }
+    return size;
+}
+
 std::string Process::output() const
 {
     std::ifstream stream(m_outputFile);
--- a/tests/support/process.hpp
+++ b/tests/support/process.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -29,6 +30,8 @@
     /// @brief All output so far, standard error included.
     std::string output() const;
     pid_t pid() const { return m_pid; }
+    /// @brief Largest resident memory so far, in KiB; 0 once the process has ended.
+    std::int64_t peakMemoryKb() const;
 
 private:
     pid_t m_pid = -1;
