Ask the parser how a body ends, not for a length it may lack

The plain build doesn't warn. Callers saw nothing.

Change: a body has no known length when it is in chunks or ends with its connection. Both are asked of the parser directly. For a message with a body this is the same answer as before; one without has nothing to reserve for. Ruled out: switching the warning off, since it isn't needed.

--- a/src/agatedoor/proxy/body_reader.hpp
+++ b/src/agatedoor/proxy/body_reader.hpp
@@ -32,7 +32,8 @@
 {
     std::string &body = parser.get().body();
     const auto largest = static_cast<std::size_t>(std::min(maxBytes, largestContentBytes(bodyMemory)));
-    if (!parser.content_length() && body.size() > reserveFromBytes && body.capacity() < largest) {
+    const bool unknownLength = parser.chunked() || parser.need_eof();
+    if (unknownLength && body.size() > reserveFromBytes && body.capacity() < largest) {
         body.reserve(largest);
     }
 }
