Write the answers without end once for the three tests that send them

Cause: the table of answers that never end stood in endless_health_test, endless_answer_test and endless_bytes_test, each a little different.

Change: tests/support/endless_answer has the seven that all three send, and the script that sends them; each test adds what only it sends. Every test sends the bytes that it sent before, and its bounds are the same. No product code.

--- a/src/agatedoor/wire/endless_answer_test.cpp
+++ b/src/agatedoor/wire/endless_answer_test.cpp
@@ -1,6 +1,6 @@
 #include "agatedoor/wire/etcd_store.hpp"
 #include "agatedoor/wire/http_call.hpp"
-#include "support/raw_backend.hpp"
+#include "support/endless_answer.hpp"
 #include "support/story.hpp"
 
 #include <gtest/gtest.h>
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace agatedoor {
@@ -18,36 +17,16 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t partBytes = 16UL * 1024;
 constexpr Duration patience = 2s;
 constexpr Duration slack = 1s; ///< On a busy machine.
 constexpr std::int64_t bodyBound = 17LL * 1024 * 1024; ///< The largest answer that is taken, and some more.
 
-/// Bytes of the store, or of a peer's interface, that never end.
-struct Endless
+/// Answers of the store, or of a peer's interface, that never end.
+std::vector<test::EndlessAnswer> allEndlessAnswers()
 {
-    std::string name;
-    std::string start; ///< Sent first.
-    std::string again; ///< Sent again and again.
-    Duration pause{0}; ///< Between parts.
-};
-
-std::vector<Endless> endlessAnswers()
-{
-    const std::string ok = "HTTP/1.1 200 OK\r\n";
-    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
-    const std::string x(partBytes, 'x');
-    const std::string field = "X-More: " + std::string(100, 'y') + "\r\n";
-    return {
-        {.name = "one endless line", .start = "HTTP/1.1 200 ", .again = x},
-        {.name = "endless header fields", .start = ok, .again = field},
-        {.name = "endless informational responses", .start = "HTTP/1.1 102 Processing\r\n\r\n", .again = "HTTP/1.1 102 Processing\r\n\r\n"},
-        {.name = "an endless chunk extension", .start = chunked + "1;", .again = x},
-        {.name = "endless trailers", .start = chunked + "1\r\na\r\n0\r\n", .again = field},
-        {.name = "chunks for ever, no line end", .start = chunked, .again = "4000\r\n" + x + "\r\n"},
-        {.name = "a body without a length for ever", .start = ok + "Connection: close\r\n\r\n", .again = x},
-        {.name = "a body one byte at a time", .start = ok + "Content-Length: 100000\r\n\r\n", .again = "x", .pause = 20ms},
-    };
+    auto all = test::endlessAnswers();
+    all.push_back(test::slowBody());
+    return all;
 }
 
 Endpoint ownAddress()
@@ -63,13 +42,10 @@
 
 /// Sends @p endless on each connection while @p call is made.
 template <typename Call>
-void expectBounded(const Endless &endless, Call call)
+void expectBounded(const test::EndlessAnswer &endless, Call call)
 {
     test::section(endless.name, [&] {
-        test::RawBackend other(ownAddress(), [&endless](std::size_t part) {
-            std::this_thread::sleep_for(endless.pause);
-            return part == 0 ? endless.start : endless.again;
-        });
+        const test::RawBackend other(ownAddress(), test::scriptOf(endless));
         const TimePoint start = Clock::now();
         EXPECT_FALSE(call(deadlineAfter(start, patience)));
         EXPECT_LT(Clock::now() - start, patience + slack);
@@ -81,7 +57,7 @@
 
 TEST(EndlessAnswers, EndACallInTimeAndWithinItsBound)
 {
-    for (const auto &endless : endlessAnswers()) {
+    for (const auto &endless : allEndlessAnswers()) {
         expectBounded(endless, [](Deadline deadline) { return httpCall(ownAddress(), {"GET", "/", {}, {}}, deadline).has_value(); });
     }
 }
@@ -101,12 +77,12 @@
 TEST(EndlessAnswers, EndAWatchOfTheStoreInTimeAndWithinItsBound)
 {
     const Store store = makeEtcdStore({ownAddress()});
-    for (const auto &endless : endlessAnswers()) {
+    for (const auto &endless : allEndlessAnswers()) {
         expectBounded(endless, [&store](Deadline deadline) { return watchBringsEvents(store, deadline); });
     }
     test::section("progress without an event, faster than it is read", [&store] {
         std::string lines;
-        while (lines.size() < partBytes) {
+        while (lines.size() < test::endlessPartBytes) {
             lines += "{\"result\":{\"header\":{\"revision\":\"7\"}}}\n";
         }
         const test::RawBackend other(ownAddress(), [&lines](std::size_t part) { return part == 0 ? "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" : lines; });
--- a/tests/process/endless_bytes_test.cpp
+++ b/tests/process/endless_bytes_test.cpp
@@ -1,5 +1,6 @@
 #include "agatedoor/base/time.hpp"
 #include "support/deployment.hpp"
+#include "support/endless_answer.hpp"
 #include "support/raw_backend.hpp"
 #include "support/raw_connection.hpp"
 #include "support/story.hpp"
@@ -15,41 +16,27 @@
 using namespace std::chrono_literals;
 
 constexpr const char *bundle = "examples/deployments/statens_takstolsverk.toml";
-constexpr std::size_t partBytes = 16UL * 1024;
 constexpr std::int64_t headBound = 512LL * 1024; ///< What a connection holds unparsed, what its orderly close discards, and some more.
 constexpr std::int64_t bodyBound = 17LL * 1024 * 1024; ///< The largest body that is taken, and as much for the rest.
 constexpr std::int64_t memoryBoundKb = 64LL * 1024; ///< By which a node's memory may grow.
 constexpr std::size_t callerParts = 8192; ///< Twice the memory by which the node may grow.
 constexpr Duration slack = 700ms; ///< Past the deadline, on a busy machine.
 
-/// Bytes of a backend server that are no answer, or more than one.
-struct Endless
+/// Answers of a backend server, or of a node, that never end.
+std::vector<EndlessAnswer> allEndlessAnswers()
 {
-    std::string name;
-    std::string start; ///< Sent first.
-    std::string again; ///< Sent again and again.
-    std::int64_t bound = headBound; ///< Most bytes that are taken over one connection.
-    Duration pause{0}; ///< Between parts.
-};
+    auto all = endlessAnswers();
+    const std::string x(endlessPartBytes, 'x');
+    all.push_back({.name = "no line at all", .start = x, .again = x});
+    all.push_back({.name = "a header one byte at a time", .start = "HTTP/1.1 200 OK\r\n", .again = "x", .pause = 20ms});
+    all.push_back(slowBody());
+    return all;
+}
 
-std::vector<Endless> endlessAnswers()
+/// Most bytes of @p answer that may be taken over one connection.
+std::int64_t boundOf(const EndlessAnswer &answer)
 {
-    const std::string ok = "HTTP/1.1 200 OK\r\n";
-    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
-    const std::string x(partBytes, 'x');
-    const std::string field = "X-More: " + std::string(100, 'y') + "\r\n";
-    return {
-        {.name = "one endless line", .start = "HTTP/1.1 200 ", .again = x},
-        {.name = "no line at all", .start = x, .again = x},
-        {.name = "endless header fields", .start = ok, .again = field},
-        {.name = "endless informational responses", .start = "", .again = "HTTP/1.1 102 Processing\r\n\r\n"},
-        {.name = "an endless chunk extension", .start = chunked + "1;", .again = x},
-        {.name = "endless trailers", .start = chunked + "1\r\na\r\n0\r\n", .again = field},
-        {.name = "chunks for ever", .start = chunked, .again = "4000\r\n" + x + "\r\n", .bound = bodyBound},
-        {.name = "a body without a length for ever", .start = ok + "Connection: close\r\n\r\n", .again = x, .bound = bodyBound},
-        {.name = "a header one byte at a time", .start = ok, .again = "x", .pause = 20ms},
-        {.name = "a body one byte at a time", .start = ok + "Content-Length: 100000\r\n\r\n", .again = "x", .pause = 20ms},
-    };
+    return answer.fillsBody ? bodyBound : headBound;
 }
 
 } // namespace
@@ -77,14 +64,11 @@
     const Endpoint address{deployment.net() + ".77", 9100};
     const std::string body = R"({"service":"ritarkiv","address":")" + toText(address) + R"(","slots":4,"connections":64})";
     int number = 0;
-    for (const auto &endless : endlessAnswers()) {
+    for (const auto &endless : allEndlessAnswers()) {
         const std::string name = "endless" + std::to_string(number++);
         section(endless.name, [&] {
             const auto before = deployment.node("owner").peakMemoryKb();
-            RawBackend backend(address, [&](std::size_t part) {
-                std::this_thread::sleep_for(endless.pause);
-                return part == 0 && !endless.start.empty() ? endless.start : endless.again;
-            });
+            RawBackend backend(address, scriptOf(endless));
             ASSERT_EQ(ask(deployment.backendsOf("owner"), {"PUT", "/v1/backends/" + name, {}, body}).status, 200);
             deployment.waitUntilReady(2);
             const TimePoint asked = Clock::now();
@@ -93,7 +77,7 @@
             EXPECT_TRUE(reply.status == 502 || reply.status == 504) << reply.status << reply.body;
             section("the connection is closed, and little was taken", [&] {
                 EXPECT_TRUE(eventually([&] { return backend.closedByOther() > 0; }));
-                EXPECT_LE(backend.mostSentBytes(), endless.bound + socketBufferBytes());
+                EXPECT_LE(backend.mostSentBytes(), boundOf(endless) + socketBufferBytes());
                 EXPECT_LE(deployment.node("owner").peakMemoryKb() - before, memoryBoundKb);
             });
             section("the slot comes back and the neighbour is served", [&] {
@@ -116,7 +100,7 @@
 TEST_F(EndlessBytes, OfSeveralAnswersAtOnceStayWithinOneBound)
 {
     constexpr int answers = 4;
-    const std::string chunk = "4000\r\n" + std::string(partBytes, 'x') + "\r\n";
+    const std::string chunk = "4000\r\n" + std::string(endlessPartBytes, 'x') + "\r\n";
     std::vector<std::unique_ptr<RawBackend>> backends;
     for (int i = 0; i < answers; ++i) {
         const Endpoint address{deployment.net() + ".77", static_cast<std::uint16_t>(9100 + i)};
@@ -151,19 +135,16 @@
     deployment.startBackend({"signoffs", "damaged", "besiktning"});
     deployment.waitUntilReady(3);
     deployment.killRelay("damaged");
-    for (const auto &endless : endlessAnswers()) {
+    for (const auto &endless : allEndlessAnswers()) {
         section(endless.name, [&] {
-            const RawBackend damaged(deployment.relayedPeers("damaged"), [&](std::size_t part) {
-                std::this_thread::sleep_for(endless.pause);
-                return part == 0 && !endless.start.empty() ? endless.start : endless.again;
-            });
+            const RawBackend damaged(deployment.relayedPeers("damaged"), scriptOf(endless));
             for (const auto &[method, target] : {std::pair{"GET", "/ritarkiv"}, std::pair{"POST", "/besiktning"}}) {
                 const auto before = deployment.node("ingress").peakMemoryKb();
                 const TimePoint asked = Clock::now();
                 const auto reply = ask(deployment.callers("ingress"), {method, target, {{"Agatedoor-Timeout-Us", "1000000"}}, {}});
                 EXPECT_LT(Clock::now() - asked, 1s + slack) << method;
                 EXPECT_TRUE(reply.status >= 502 && reply.status <= 504) << method << " " << reply.status << reply.body;
-                EXPECT_LE(damaged.mostSentBytes(), endless.bound + socketBufferBytes()) << method;
+                EXPECT_LE(damaged.mostSentBytes(), boundOf(endless) + socketBufferBytes()) << method;
                 EXPECT_LE(deployment.node("ingress").peakMemoryKb() - before, memoryBoundKb) << method;
             }
             EXPECT_TRUE(eventually([&] { return damaged.closedByOther() > 0; }));
@@ -178,7 +159,7 @@
 
 TEST_F(EndlessBytes, OfACallerAreRefusedAndHarmNoOther)
 {
-    const std::string x(partBytes, 'x');
+    const std::string x(endlessPartBytes, 'x');
     const std::string post = "POST /besiktning HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
     const std::vector<std::pair<std::string, std::string>> starts{
         {"one endless line", "GET /"},
