Count a request's runs in the tests by the function that does so

Cause: hedge_test and at_most_once_test each counted the runs of a request over their backend servers anew, as countRuns() and runsOf() do.

Change: both call these. No check is changed, no product code.

--- a/tests/process/at_most_once_test.cpp
+++ b/tests/process/at_most_once_test.cpp
@@ -1,5 +1,5 @@
 #include "agatedoor/base/time.hpp"
-#include "support/deployment.hpp"
+#include "support/bounded_load.hpp"
 #include "support/story.hpp"
 
 #include <csignal>
@@ -59,15 +59,7 @@
         return std::async(std::launch::async, [this, id, timeoutMs] { return send(id, timeoutMs); });
     }
 
-    std::int64_t runsOf(const std::string &id) const
-    {
-        std::int64_t total = 0;
-        for (const auto &backend : m_backends) {
-            const auto runs = deployment.runs(backend);
-            total += runs.contains(id) ? runs.at(id).to_number<std::int64_t>() : 0;
-        }
-        return total;
-    }
+    std::int64_t runsOf(const std::string &id) const { return test::runsOf(countRuns(deployment, m_backends), id); }
 
     /// What must hold for every request that may run at most once.
     void expectTruthful(const Told &told) const
--- a/tests/process/hedge_test.cpp
+++ b/tests/process/hedge_test.cpp
@@ -64,15 +64,7 @@
         return sum;
     }
 
-    std::int64_t runsOf(const std::string &id) const
-    {
-        std::int64_t total = 0;
-        for (const auto &backend : backendNames) {
-            const auto runs = deployment.runs(backend);
-            total += runs.contains(id) ? runs.at(id).to_number<std::int64_t>() : 0;
-        }
-        return total;
-    }
+    std::int64_t runsOf(const std::string &id) const { return test::runsOf(countRuns(deployment, backendNames), id); }
 
     void relayAll(const std::string &json) const
     {
